--- /dev/null
+++ b/include/bamboohead/config_state.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "bamboohead/clock.hpp"
+#include "bamboohead/manifest.hpp"
+#include "bamboohead/types.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bamboohead {
+
+/// @brief How long a proof that the configuration is current stays valid.
+inline constexpr duration currencyLimit = std::chrono::seconds{3};
+
+/// @brief The configuration that a process holds, and whether it may rely on it.
+///
+/// Versions only grow: an older version is ignored, wherever it comes from.
+class config_state
+{
+public:
+    config_state(std::string zone, const clock &clock);
+
+    /// @brief Takes a version if it is newer than the one held.
+    /// @return Whether the version was taken; a malformed manifest is not.
+    bool offer(config_version version, const std::string &text);
+
+    /// @brief A store read that was sent at `sentAt` showed `version`.
+    void storeConfirmed(config_version version, time_point sentAt);
+
+    /// @brief An entry of `zone` proved that it lived at `echo` (own clock).
+    void entryHeard(const std::string &zone, time_point echo);
+
+    /// @brief A current entry that holds at least this process's version proved at `echo` that it
+    ///        knew this process.
+    void currentEntryHeard(time_point echo);
+
+    /// @brief Whether an entry may start tasks: the store confirmed the held version, or entries of
+    ///        more than half of the zones were heard, within `currencyLimit`.
+    [[nodiscard]] bool entryCurrent() const;
+
+    /// @brief Whether an agent may start tasks: a current entry was heard within `currencyLimit`.
+    [[nodiscard]] bool agentCurrent() const;
+
+    /// @brief Whether the manifest has the zone in service. False while no manifest is held.
+    [[nodiscard]] bool zoneIn(const std::string &zone) const;
+
+    /// @brief Whether the local zone is in service.
+    [[nodiscard]] bool ownZoneIn() const { return zoneIn(m_zone); }
+
+    [[nodiscard]] config_version version() const noexcept { return m_version; }
+
+    /// @brief The held manifest; empty while none is held.
+    [[nodiscard]] const manifest &current() const noexcept { return m_manifest; }
+
+    /// @brief Text of the held manifest, as it is passed on.
+    [[nodiscard]] const std::string &text() const noexcept { return m_text; }
+
+private:
+    [[nodiscard]] bool within(const std::optional<time_point> &proof) const;
+    [[nodiscard]] bool mostZonesHeard() const;
+
+    std::string m_zone;
+    const clock &m_clock;
+    config_version m_version = config_version::none;
+    manifest m_manifest;
+    std::string m_text;
+    std::optional<time_point> m_storeProof;
+    std::optional<time_point> m_entryProof;
+    std::map<std::string, time_point, std::less<>> m_zoneProofs;
+};
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/config_state.cpp
@@ -0,0 +1,90 @@
+#include "bamboohead/config_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboohead {
+
+config_state::config_state(std::string zone, const clock &clock)
+    : m_zone{std::move(zone)}
+    , m_clock{clock}
+{}
+
+bool config_state::offer(config_version version, const std::string &text)
+{
+    if (version <= m_version) {
+        return false;
+    }
+    auto parsed = parseManifest(text);
+    if (!std::holds_alternative<manifest>(parsed)) {
+        return false;
+    }
+    m_manifest = std::get<manifest>(std::move(parsed));
+    m_version = version;
+    m_text = text;
+    return true;
+}
+
+void config_state::storeConfirmed(config_version version, time_point sentAt)
+{
+    // A store that shows an older version than the held one has not confirmed anything.
+    if (version == m_version) {
+        m_storeProof = std::max(m_storeProof.value_or(sentAt), sentAt);
+    }
+}
+
+void config_state::entryHeard(const std::string &zone, time_point echo)
+{
+    auto &proof = m_zoneProofs[zone];
+    proof = std::max(proof, echo);
+}
+
+void config_state::currentEntryHeard(time_point echo)
+{
+    m_entryProof = std::max(m_entryProof.value_or(echo), echo);
+}
+
+bool config_state::entryCurrent() const
+{
+    if (m_version == config_version::none) {
+        return false;
+    }
+    return within(m_storeProof) || mostZonesHeard();
+}
+
+bool config_state::agentCurrent() const
+{
+    return m_version != config_version::none && within(m_entryProof);
+}
+
+bool config_state::zoneIn(const std::string &zone) const
+{
+    const auto found = m_manifest.zones.find(zone);
+    return found != m_manifest.zones.end() && found->second == zone_state::in;
+}
+
+bool config_state::within(const std::optional<time_point> &proof) const
+{
+    return proof && m_clock.now() - *proof <= currencyLimit;
+}
+
+bool config_state::mostZonesHeard() const
+{
+    std::size_t zonesIn = 0;
+    std::size_t zonesHeard = 0;
+    for (const auto &[zone, state] : m_manifest.zones) {
+        // Entries of a zone that is out may be gone, so that zone cannot be required.
+        if (state == zone_state::out) {
+            continue;
+        }
+        ++zonesIn;
+        const auto proof = m_zoneProofs.find(zone);
+        const bool heard = proof != m_zoneProofs.end() && within(proof->second);
+        if (zone == m_zone || heard) {
+            ++zonesHeard;
+        }
+    }
+    return 2 * zonesHeard > zonesIn;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/tests/link_table_test.cpp
@@ -0,0 +1,53 @@
+#include "bamboohead/link_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+process_identity identity(std::uint64_t number)
+{
+    return process_identity{incarnation_id{number}, "tcp://127.0.0.1:1", wire::ROLE_ENTRY, "graz"};
+}
+
+} // namespace
+
+TEST_CASE("age is measured by the receiver's clock since the echoed stamp")
+{
+    // Guards against trusting a message that waited in a queue while a process was stopped.
+    manual_clock clockA{time_point{100s}};
+    manual_clock clockB{time_point{9000s}};
+    link_table tableA{identity(1), clockA};
+    link_table tableB{identity(2), clockB};
+
+    wire::Envelope first;
+    tableA.seal(first, incarnation_id{2});
+    const auto atB = tableB.receive(first);
+    CHECK(atB.accepted);
+    CHECK(atB.firstContact);
+    CHECK_FALSE(atB.age);
+    CHECK_FALSE(tableB.alive(incarnation_id{1}, 2s));
+
+    wire::Envelope reply;
+    tableB.seal(reply, incarnation_id{1});
+    clockA.advance(5s);
+    const auto atA = tableA.receive(reply);
+    REQUIRE(atA.age);
+    CHECK(*atA.age == 5s);
+    CHECK_FALSE(tableA.alive(incarnation_id{2}, 2s));
+    CHECK(tableA.alive(incarnation_id{2}, 5s));
+}
+
+TEST_CASE("an envelope for another incarnation is not accepted")
+{
+    // Guards against a restarted process that acts on messages meant for its predecessor.
+    manual_clock clock;
+    link_table table{identity(1), clock};
+    wire::Envelope envelope;
+    envelope.set_sender(2);
+    envelope.set_receiver(99);
+    CHECK_FALSE(table.receive(envelope).accepted);
+    CHECK(table.find(incarnation_id{2}) == nullptr);
+}
