--- a/include/bamboohead/job.hpp
+++ b/include/bamboohead/job.hpp
@@ -12,7 +12,7 @@
 
 inline constexpr std::size_t maxTasksPerJob = 1200;
 inline constexpr std::size_t maxPayloadBytes = 4096;
-inline constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t maxBodyBytes = std::size_t{8} << 20U;
 
 /// @brief 128-bit xxHash of a job's content, without its id.
 struct content_hash
