--- a/include/bamboohead/config_state.hpp
+++ b/include/bamboohead/config_state.hpp
@@ -12,7 +12,9 @@
 namespace bamboohead {
 
 /// @brief How long a proof that the configuration is current stays valid.
-inline constexpr duration currencyLimit = std::chrono::seconds{3};
+/// Four missed heartbeats; with 1 s for a store read or a push and 1 s for passing the version on
+/// it bounds the time in which a zone that is out may still start tasks.
+inline constexpr duration currencyLimit = std::chrono::seconds{2};
 
 /// @brief The configuration that a process holds, and whether it may rely on it.
 ///
@@ -32,14 +34,20 @@
     /// @brief An entry of `zone` proved that it lived at `echo` (own clock).
     void entryHeard(const std::string &zone, time_point echo);
 
-    /// @brief A current entry that holds at least this process's version proved at `echo` that it
-    ///        knew this process.
-    void currentEntryHeard(time_point echo);
+    /// @brief A current entry that holds this process's version was heard.
+    /// @param echo Own clock's stamp that the entry echoed.
+    /// @param proofAge Age of the entry's own proof when it sent the message. It counts against the
+    ///        limit, so that proofs passed from process to process do not add up.
+    void currentEntryHeard(time_point echo, duration proofAge);
 
     /// @brief Whether an entry may start tasks: the store confirmed the held version, or entries of
     ///        more than half of the zones were heard, within `currencyLimit`.
     [[nodiscard]] bool entryCurrent() const;
 
+    /// @brief Age of the newest proof that the held version is current.
+    /// @return Nothing when there is no proof, or no manifest.
+    [[nodiscard]] std::optional<duration> entryProofAge() const;
+
     /// @brief Whether an agent may start tasks: a current entry was heard within `currencyLimit`.
     [[nodiscard]] bool agentCurrent() const;
 
@@ -59,7 +67,7 @@
 
 private:
     [[nodiscard]] bool within(const std::optional<time_point> &proof) const;
-    [[nodiscard]] bool mostZonesHeard() const;
+    [[nodiscard]] std::optional<time_point> mostZonesHeardSince() const;
 
     std::string m_zone;
     const clock &m_clock;
--- a/src/config_state.cpp
+++ b/src/config_state.cpp
@@ -1,7 +1,9 @@
 #include "bamboohead/config_state.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace bamboohead {
 
@@ -39,17 +41,28 @@
     proof = std::max(proof, echo);
 }
 
-void config_state::currentEntryHeard(time_point echo)
+void config_state::currentEntryHeard(time_point echo, duration proofAge)
 {
-    m_entryProof = std::max(m_entryProof.value_or(echo), echo);
+    const auto proof = echo - proofAge;
+    m_entryProof = std::max(m_entryProof.value_or(proof), proof);
 }
 
 bool config_state::entryCurrent() const
+{
+    const auto age = entryProofAge();
+    return age && *age <= currencyLimit;
+}
+
+std::optional<duration> config_state::entryProofAge() const
 {
     if (m_version == config_version::none) {
-        return false;
+        return std::nullopt;
+    }
+    const auto proof = std::max(m_storeProof, mostZonesHeardSince());
+    if (!proof) {
+        return std::nullopt;
     }
-    return within(m_storeProof) || mostZonesHeard();
+    return m_clock.now() - *proof;
 }
 
 bool config_state::agentCurrent() const
@@ -68,23 +81,28 @@
     return proof && m_clock.now() - *proof <= currencyLimit;
 }
 
-bool config_state::mostZonesHeard() const
+std::optional<time_point> config_state::mostZonesHeardSince() const
 {
+    std::vector<time_point> proofs;
     std::size_t zonesIn = 0;
-    std::size_t zonesHeard = 0;
     for (const auto &[zone, state] : m_manifest.zones) {
         // Entries of a zone that is out may be gone, so that zone cannot be required.
         if (state == zone_state::out) {
             continue;
         }
         ++zonesIn;
-        const auto proof = m_zoneProofs.find(zone);
-        const bool heard = proof != m_zoneProofs.end() && within(proof->second);
-        if (zone == m_zone || heard) {
-            ++zonesHeard;
+        if (zone == m_zone) {
+            proofs.push_back(m_clock.now());
+        } else if (const auto heard = m_zoneProofs.find(zone); heard != m_zoneProofs.end()) {
+            proofs.push_back(heard->second);
         }
     }
-    return 2 * zonesHeard > zonesIn;
+    const auto needed = zonesIn / 2 + 1;
+    if (proofs.size() < needed) {
+        return std::nullopt;
+    }
+    std::ranges::sort(proofs, std::greater{});
+    return proofs[needed - 1];
 }
 
 } // namespace bamboohead
