Parse and check the manifest

Cause: parseManifest was a stub that accepted any text.

Change: the manifest is read with Boost.JSON (comments allowed) and every fault is reported with JSON pointer, value found, allowed range and unit. Unknown and repeated keys are faults; Boost.JSON keeps only the last of repeated keys, so a scan of the accepted text finds them. The same scan gives positions, which changeZoneState uses to replace one zone's state and keep the rest of the text, comments included.

Conclusion: other modules can rely on a checked manifest.

--- a/include/bamboohead/manifest.hpp
+++ b/include/bamboohead/manifest.hpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/types.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +12,9 @@
 
 namespace bamboohead {
 
+/// @brief Size limit of a manifest; the store takes values of at most 1 MB.
+inline constexpr std::size_t maxManifestBytes = 1'000'000;
+
 /// @brief Whether operators have an availability zone in service.
 enum class zone_state : std::uint8_t { in, out };
 
@@ -49,4 +53,12 @@
 [[nodiscard]] std::variant<manifest, std::vector<config_fault>>
 parseManifest(std::string_view text);
 
+/// @brief Renders a manifest with one zone's state changed; all else, comments included, stays.
+/// @return The new text, or the faults of the old one; an unknown zone is a fault.
+[[nodiscard]] std::variant<std::string, std::vector<config_fault>>
+changeZoneState(std::string_view text, std::string_view zone, zone_state state);
+
+/// @brief Name of a zone's state in the manifest.
+[[nodiscard]] std::string_view toText(zone_state state) noexcept;
+
 } // namespace bamboohead
--- a/src/manifest.cpp
+++ b/src/manifest.cpp
@@ -1,11 +1,286 @@
 #include "bamboohead/manifest.hpp"
 
+#include "bamboohead/detail/config/json_scan.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/stream_parser.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
 namespace bamboohead {
 
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t maxNameLength = 63;
+constexpr std::size_t maxShownLength = 60; ///< characters of a wrong value in a message
+constexpr int maxDepth = 16;
+constexpr std::array<std::string_view, 2> zoneStateNames{"in", "out"};
+
+/// Allowed values of one number.
+struct number_range
+{
+    std::uint32_t low;
+    std::uint32_t high;
+    std::string_view unit;
+};
+
+constexpr number_range weightRange{1, 1'000, "share"};
+constexpr number_range perTargetRange{0, 1'000, "tasks, 0 means the target's slots"};
+constexpr number_range deadlineRange{1, 600'000, "ms"};
+constexpr number_range runningRange{0, 10'000'000, "tasks, 0 means no limit"};
+
+std::string shown(const json::value &value)
+{
+    auto text = json::serialize(value);
+    if (text.size() > maxShownLength) {
+        text.resize(maxShownLength);
+        text += "...";
+    }
+    return text;
+}
+
+bool validName(std::string_view name)
+{
+    const auto allowed = [](char letter) {
+        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') ||
+               letter == '-';
+    };
+    return !name.empty() && name.size() <= maxNameLength && std::ranges::all_of(name, allowed);
+}
+
+/// Reads a parsed manifest and collects its faults.
+class manifest_reader
+{
+public:
+    manifest read(const json::value &root)
+    {
+        manifest result;
+        const auto *object = objectAt(root, "");
+        if (object == nullptr) {
+            return result;
+        }
+        refuseUnknown(*object, "", {"zones", "services", "teams"});
+        readTable(*object, "zones", true, result.zones, &manifest_reader::readZone);
+        readTable(*object, "services", true, result.services, &manifest_reader::readService);
+        readTable(*object, "teams", false, result.teams, &manifest_reader::readTeam);
+        return result;
+    }
+
+    std::vector<config_fault> takeFaults() { return std::move(m_faults); }
+
+private:
+    void fault(std::string path, std::string message)
+    {
+        m_faults.push_back(config_fault{std::move(path), std::move(message)});
+    }
+
+    const json::object *objectAt(const json::value &value, const std::string &path)
+    {
+        const auto *object = value.if_object();
+        if (object == nullptr) {
+            fault(path, "found " + shown(value) + "; allowed: an object");
+        }
+        return object;
+    }
+
+    void refuseUnknown(const json::object &object, const std::string &path,
+                       std::initializer_list<std::string_view> known)
+    {
+        for (const auto &member : object) {
+            const std::string_view key{member.key().data(), member.key().size()};
+            if (std::ranges::find(known, key) == known.end()) {
+                fault(detail::appendPointer(path, key), "unknown key; allowed: " + list(known));
+            }
+        }
+    }
+
+    static std::string list(std::initializer_list<std::string_view> names)
+    {
+        std::string text;
+        for (const auto name : names) {
+            text += text.empty() ? "" : ", ";
+            text += name;
+        }
+        return text;
+    }
+
+    template <typename Settings>
+    void readTable(const json::object &root, std::string_view key, bool required,
+                   std::map<std::string, Settings, std::less<>> &out,
+                   Settings (manifest_reader::*readSettings)(const json::object &,
+                                                             const std::string &))
+    {
+        const auto path = detail::appendPointer("", key);
+        const auto *value = root.if_contains({key.data(), key.size()});
+        if (value == nullptr) {
+            if (required) {
+                fault(path, "missing; allowed: an object with at least one name");
+            }
+            return;
+        }
+        const auto *table = objectAt(*value, path);
+        if (table == nullptr) {
+            return;
+        }
+        if (required && table->empty()) {
+            fault(path, "found {}; allowed: at least one name");
+        }
+        for (const auto &member : *table) {
+            const std::string name{member.key()};
+            const auto memberPath = detail::appendPointer(path, name);
+            if (!validName(name)) {
+                fault(memberPath, "found the name " + shown(json::value(name)) +
+                                          "; allowed: 1 to 63 of a-z, 0-9 and -");
+            }
+            if (const auto *settings = objectAt(member.value(), memberPath)) {
+                out.emplace(name, (this->*readSettings)(*settings, memberPath));
+            }
+        }
+    }
+
+    zone_state readZone(const json::object &object, const std::string &path)
+    {
+        refuseUnknown(object, path, {"state"});
+        const auto statePath = detail::appendPointer(path, "state");
+        const auto *value = object.if_contains("state");
+        if (value == nullptr) {
+            fault(statePath, R"(missing; allowed: "in" or "out")");
+            return zone_state::out;
+        }
+        const auto *text = value->if_string();
+        const auto name =
+                text == nullptr ? std::string_view{} : std::string_view{text->data(), text->size()};
+        const auto found = std::ranges::find(zoneStateNames, name);
+        if (found == zoneStateNames.end()) {
+            fault(statePath, "found " + shown(*value) + R"(; allowed: "in" or "out")");
+            return zone_state::out;
+        }
+        return static_cast<zone_state>(found - zoneStateNames.begin());
+    }
+
+    service_settings readService(const json::object &object, const std::string &path)
+    {
+        refuseUnknown(object, path, {"weight", "max_running_per_target", "default_deadline_ms"});
+        service_settings result;
+        result.weight = number(object, path, "weight", weightRange).value_or(result.weight);
+        result.maxRunningPerTarget = number(object, path, "max_running_per_target", perTargetRange)
+                                             .value_or(result.maxRunningPerTarget);
+        if (const auto deadline = number(object, path, "default_deadline_ms", deadlineRange)) {
+            result.defaultDeadline = std::chrono::milliseconds{*deadline};
+        }
+        return result;
+    }
+
+    team_settings readTeam(const json::object &object, const std::string &path)
+    {
+        refuseUnknown(object, path, {"weight", "max_running"});
+        team_settings result;
+        result.weight = number(object, path, "weight", weightRange).value_or(result.weight);
+        result.maxRunning =
+                number(object, path, "max_running", runningRange).value_or(result.maxRunning);
+        return result;
+    }
+
+    std::optional<std::uint32_t> number(const json::object &object, const std::string &path,
+                                        std::string_view key, const number_range &range)
+    {
+        const auto *value = object.if_contains({key.data(), key.size()});
+        if (value == nullptr) {
+            return std::nullopt;
+        }
+        const auto *integer = value->if_int64();
+        if (integer == nullptr || *integer < range.low || *integer > range.high) {
+            fault(detail::appendPointer(path, key),
+                  "found " + shown(*value) + "; allowed: an integer from " +
+                          std::to_string(range.low) + " to " + std::to_string(range.high) + " (" +
+                          std::string{range.unit} + ")");
+            return std::nullopt;
+        }
+        return static_cast<std::uint32_t>(*integer);
+    }
+
+    std::vector<config_fault> m_faults;
+};
+
+std::string lineAndColumn(std::string_view text, std::size_t offset)
+{
+    const auto before = text.substr(0, offset);
+    const auto line = 1 + std::ranges::count(before, '\n');
+    const auto lineStart = before.rfind('\n');
+    const auto column = lineStart == std::string_view::npos ? offset + 1 : offset - lineStart;
+    return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+std::variant<json::value, config_fault> parseText(std::string_view text)
+{
+    if (text.size() > maxManifestBytes) {
+        return config_fault{"", "found " + std::to_string(text.size()) +
+                                        " bytes; allowed: at most " +
+                                        std::to_string(maxManifestBytes) + " bytes"};
+    }
+    json::parse_options options;
+    options.allow_comments = true;
+    options.max_depth = maxDepth;
+    json::stream_parser parser{{}, options};
+    json::error_code error;
+    const auto offset = parser.write(text.data(), text.size(), error);
+    if (!error) {
+        parser.finish(error);
+    }
+    if (error) {
+        return config_fault{"", "not valid JSON near " + lineAndColumn(text, offset) + ": " +
+                                        error.message()};
+    }
+    return parser.release();
+}
+
+} // namespace
+
+std::string_view toText(zone_state state) noexcept
+{
+    return zoneStateNames.at(static_cast<std::size_t>(state));
+}
+
 std::variant<manifest, std::vector<config_fault>> parseManifest(std::string_view text)
 {
-    (void)text;
-    return manifest{};
+    const auto parsed = parseText(text);
+    if (const auto *syntax = std::get_if<config_fault>(&parsed)) {
+        return std::vector{*syntax};
+    }
+    manifest_reader reader;
+    auto result = reader.read(std::get<json::value>(parsed));
+    auto faults = reader.takeFaults();
+    for (const auto &path : detail::scanJson(text).duplicates) {
+        faults.push_back(config_fault{path, "the key is repeated; allowed: once"});
+    }
+    if (!faults.empty()) {
+        return faults;
+    }
+    return result;
+}
+
+std::variant<std::string, std::vector<config_fault>>
+changeZoneState(std::string_view text, std::string_view zone, zone_state state)
+{
+    const auto parsed = parseManifest(text);
+    if (const auto *faults = std::get_if<std::vector<config_fault>>(&parsed)) {
+        return *faults;
+    }
+    const auto zonePath = detail::appendPointer("/zones", zone);
+    const auto layout = detail::scanJson(text);
+    const auto found = layout.values.find(detail::appendPointer(zonePath, "state"));
+    if (found == layout.values.end()) {
+        return std::vector{config_fault{zonePath, "the manifest has no such zone"}};
+    }
+    std::string result{text};
+    result.replace(found->second.begin, found->second.end - found->second.begin,
+                   '"' + std::string{toText(state)} + '"');
+    return result;
 }
 
 } // namespace bamboohead
