--- /dev/null
+++ b/include/bamboohead/store_client.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "bamboohead/error_kind.hpp"
+#include "bamboohead/types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <stop_token>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace bamboohead {
+
+/// @brief Key of the manifest in the store.
+inline constexpr std::string_view manifestKey = "/bamboohead/manifest";
+
+/// @brief Revision at which a key was last changed; `none` means that the key is absent.
+enum class store_revision : std::uint64_t { none = 0 };
+
+/// @brief Value of a key, as the store showed it.
+struct store_value
+{
+    store_revision modified = store_revision::none; ///< `none`: the key is absent, `text` is empty
+    std::string text;
+};
+
+/// @brief Why a store call did not succeed.
+///
+/// Kinds: `store_unavailable` (nothing was changed), `store_outcome_unknown` (a write was sent and
+/// may have taken effect), `manifest_conflict` (the key had another revision).
+struct store_error
+{
+    error_kind kind = error_kind::store_unavailable;
+    std::string detail;
+};
+
+template <typename Value>
+using store_result = std::variant<Value, store_error>;
+
+/// @brief Kinds and results of HTTP calls to the store, for counters.
+enum class store_call : std::uint8_t { read, write, watch };
+enum class store_call_result : std::uint8_t { ok, conflict, unavailable, unknown };
+
+/// @brief Names for metrics.
+[[nodiscard]] std::string_view toText(store_call call) noexcept;
+[[nodiscard]] std::string_view toText(store_call_result result) noexcept;
+
+/// @brief HTTP calls made, by kind and result; retries count, a watch counts when it ends.
+struct store_counters
+{
+    static constexpr std::size_t calls = 3;
+    static constexpr std::size_t results = 4;
+
+    std::array<std::array<std::uint64_t, results>, calls> counts{};
+
+    [[nodiscard]] std::uint64_t of(store_call call, store_call_result result) const
+    {
+        return counts.at(static_cast<std::size_t>(call)).at(static_cast<std::size_t>(result));
+    }
+};
+
+/// @brief Receives the values of a watched key; a deleted key has revision `none`.
+using watch_listener = std::function<void(const store_value &)>;
+
+/// @brief Client of the platform's key-value store. All functions may be called from any thread.
+class store_client
+{
+public:
+    virtual ~store_client() = default;
+
+    /// @brief Reads a key; the store answers with the newest committed value.
+    [[nodiscard]] virtual store_result<store_value> read(std::string_view key) = 0;
+
+    /// @brief Writes a key if it was last changed at `expected` (`none`: if it is absent).
+    /// @return The revision of the new value. A write that may have been sent is never repeated.
+    [[nodiscard]] virtual store_result<store_revision>
+    compareAndSwap(std::string_view key, store_revision expected, std::string_view text) = 0;
+
+    /// @brief Watches a key for changes from now on; blocks until the watch breaks or `stop` is
+    ///        requested. Silence proves nothing about the key.
+    /// @return Why the watch ended.
+    virtual store_error watch(std::string_view key, const watch_listener &listener,
+                              std::stop_token stop) = 0;
+
+    [[nodiscard]] virtual store_counters counters() const = 0;
+};
+
+/// @brief Construction options of the store client.
+struct store_options
+{
+    std::vector<std::string> endpoints; ///< host:port, tried in turn from the last good one
+    duration callTimeout = std::chrono::seconds{2}; ///< whole call, retries included
+    duration attemptTimeout = std::chrono::seconds{1};
+    duration firstBackoff = std::chrono::milliseconds{100}; ///< between rounds, doubles
+    duration maxBackoff = std::chrono::seconds{2};
+    std::uint32_t maxRounds = 1; ///< tries of each endpoint in a call
+    std::uint64_t seed = 1;      ///< of the jitter
+};
+
+/// @brief Client of the etcd v3 JSON gateway.
+[[nodiscard]] std::unique_ptr<store_client> makeEtcdClient(store_options options);
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/base64.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboohead::detail {
+
+/// @brief Base64 with padding (RFC 4648, section 4).
+[[nodiscard]] std::string encodeBase64(std::string_view bytes);
+
+/// @return The bytes, or nothing when the text is malformed.
+[[nodiscard]] std::optional<std::string> decodeBase64(std::string_view text);
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/src/adapters/etcd_client.cpp
@@ -0,0 +1,328 @@
+#include "bamboohead/detail/config/backoff.hpp"
+#include "bamboohead/store_client.hpp"
+
+#include "etcd_messages.hpp"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace bamboohead {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::size_t maxAnswerBytes = std::size_t{4} << 20U; ///< base64 of 1 MB, with room
+/// A watch without any byte for this long is opened again, in case its connection is dead.
+constexpr std::chrono::seconds watchIdleLimit{60};
+constexpr std::chrono::milliseconds stopPollInterval{5};
+constexpr int httpOk = 200;
+
+constexpr std::array<std::string_view, store_counters::calls> callNames{"read", "write", "watch"};
+constexpr std::array<std::string_view, store_counters::results> resultNames{
+        "ok", "conflict", "unavailable", "unknown"};
+
+/// What became of one HTTP exchange.
+enum class exchange_end : std::uint8_t {
+    answered, ///< status 200
+    rejected, ///< the store said that it did not process the request
+    not_sent, ///< no connection
+    unknown,  ///< sent, without a usable answer
+};
+
+struct exchange
+{
+    exchange_end end = exchange_end::not_sent;
+    std::string body;
+    std::string detail;
+};
+
+/// Statuses that the gateway gives before it processes a request. Others, such as 503 for a
+/// timed out proposal, leave open whether a write takes effect.
+bool rejects(int status)
+{
+    constexpr std::array statuses{400, 401, 403, 404, 413, 429};
+    return std::ranges::find(statuses, status) != statuses.end();
+}
+
+exchange classify(const httplib::Result &result, std::string body)
+{
+    exchange out;
+    out.body = std::move(body);
+    if (!result) {
+        const bool unsent = result.error() == httplib::Error::Connection ||
+                            result.error() == httplib::Error::ConnectionTimeout;
+        out.end = unsent ? exchange_end::not_sent : exchange_end::unknown;
+        out.detail = httplib::to_string(result.error());
+    } else if (result->status == httpOk) {
+        out.end = exchange_end::answered;
+    } else {
+        out.end = rejects(result->status) ? exchange_end::rejected : exchange_end::unknown;
+        out.detail = "HTTP status " + std::to_string(result->status);
+    }
+    return out;
+}
+
+httplib::Request postRequest(std::string path, std::string body)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = std::move(path);
+    request.body = std::move(body);
+    request.headers.emplace("Content-Type", "application/json");
+    return request;
+}
+
+class etcd_client final : public store_client
+{
+public:
+    explicit etcd_client(store_options options)
+        : m_options{std::move(options)}
+        , m_backoff{m_options.firstBackoff, m_options.maxBackoff, m_options.seed}
+    {}
+
+    // Calls
+
+    store_result<store_value> read(std::string_view key) override
+    {
+        const auto body = detail::rangeRequest(key);
+        const auto done = [](const exchange &answer) {
+            return answer.end == exchange_end::answered && detail::parseRangeAnswer(answer.body);
+        };
+        const auto answer = call(store_call::read, "/v3/kv/range", body, done);
+        auto value = answer.end == exchange_end::answered ? detail::parseRangeAnswer(answer.body)
+                                                          : std::nullopt;
+        if (!value) {
+            return store_error{error_kind::store_unavailable, describe(answer)};
+        }
+        return std::move(*value);
+    }
+
+    store_result<store_revision> compareAndSwap(std::string_view key, store_revision expected,
+                                                std::string_view text) override
+    {
+        const auto body = detail::swapRequest(key, expected, text);
+        // A write that was sent is not repeated: after its success the repetition would conflict.
+        const auto done = [](const exchange &answer) {
+            return answer.end != exchange_end::not_sent;
+        };
+        const auto answer = call(store_call::write, "/v3/kv/txn", body, done);
+        if (answer.end == exchange_end::not_sent || answer.end == exchange_end::rejected) {
+            return store_error{error_kind::store_unavailable, describe(answer)};
+        }
+        const auto swap = answer.end == exchange_end::answered
+                                  ? detail::parseSwapAnswer(answer.body)
+                                  : std::nullopt;
+        if (!swap) {
+            return store_error{error_kind::store_outcome_unknown, describe(answer)};
+        }
+        if (!swap->succeeded) {
+            return store_error{error_kind::manifest_conflict, "the key has another revision"};
+        }
+        return swap->revision;
+    }
+
+    store_error watch(std::string_view key, const watch_listener &listener,
+                      std::stop_token stop) override
+    {
+        if (m_options.endpoints.empty()) {
+            return noEndpoint();
+        }
+        const auto index = m_preferred.load() % m_options.endpoints.size();
+        httplib::Client client{"http://" + m_options.endpoints[index]};
+        configure(client, m_options.attemptTimeout);
+        client.set_read_timeout(watchIdleLimit);
+        auto request = postRequest("/v3/watch", detail::watchRequest(key));
+        std::string buffer;
+        request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                       std::uint64_t) {
+            buffer.append(data, size);
+            return !stop.stop_requested() && takeLines(buffer, listener);
+        };
+        const auto ended = sendStoppable(client, request, stop);
+        count(store_call::watch, ended.end == exchange_end::answered
+                                         ? store_call_result::ok
+                                         : store_call_result::unavailable);
+        if (!stop.stop_requested()) {
+            m_preferred.store(index + 1);
+        }
+        return store_error{error_kind::store_unavailable, describe(ended)};
+    }
+
+    [[nodiscard]] store_counters counters() const override
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_counters;
+    }
+
+private:
+    // Exchanges
+
+    /// Sends a request to the endpoints in turn until `done` accepts an exchange or the call's
+    /// time or rounds are used up.
+    template <typename Done>
+    exchange call(store_call kind, const std::string &path, const std::string &body,
+                  const Done &done)
+    {
+        const auto deadline = steady::now() + m_options.callTimeout;
+        exchange last;
+        last.detail = "no endpoint answered in time";
+        for (std::uint32_t round = 0; round < m_options.maxRounds; ++round) {
+            if (round > 0) {
+                pause(deadline);
+            }
+            for (std::size_t i = 0; i < m_options.endpoints.size(); ++i) {
+                const auto index = m_preferred.load() % m_options.endpoints.size();
+                const auto left = std::chrono::duration_cast<duration>(deadline - steady::now());
+                if (left <= duration::zero()) {
+                    return last;
+                }
+                last = attempt(index, path, body, std::min(left, m_options.attemptTimeout));
+                count(kind, resultOf(kind, last));
+                if (done(last)) {
+                    resetBackoff();
+                    return last;
+                }
+                m_preferred.store(index + 1);
+            }
+        }
+        return last;
+    }
+
+    /// One exchange, over within about `timeout` even when the store sends single bytes.
+    exchange attempt(std::size_t index, const std::string &path, const std::string &body,
+                     duration timeout)
+    {
+        const auto deadline = steady::now() + timeout;
+        httplib::Client client{"http://" + m_options.endpoints[index]};
+        configure(client, timeout);
+        auto request = postRequest(path, body);
+        std::string answer;
+        request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                       std::uint64_t) {
+            answer.append(data, size);
+            return answer.size() <= maxAnswerBytes && steady::now() < deadline;
+        };
+        const auto result = client.send(request);
+        return classify(result, std::move(answer));
+    }
+
+    /// The limits of the phases add up to the time-out of the exchange.
+    static void configure(httplib::Client &client, duration timeout)
+    {
+        client.set_connection_timeout(timeout / 4);
+        client.set_write_timeout(timeout / 4);
+        client.set_read_timeout(timeout / 2);
+    }
+
+    /// Client::stop() has no effect before the request is in flight, so it is repeated until the
+    /// exchange has ended.
+    static exchange sendStoppable(httplib::Client &client, const httplib::Request &request,
+                                  const std::stop_token &stop)
+    {
+        std::atomic<bool> ended = false;
+        const std::stop_callback interrupt{stop, [&] {
+                                               while (!ended) {
+                                                   client.stop();
+                                                   std::this_thread::sleep_for(stopPollInterval);
+                                               }
+                                           }};
+        const auto result = client.send(request);
+        ended = true;
+        return classify(result, {});
+    }
+
+    /// Hands complete lines of a watch stream on. @return Whether the watch goes on.
+    static bool takeLines(std::string &buffer, const watch_listener &listener)
+    {
+        for (auto end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n')) {
+            const auto line = buffer.substr(0, end);
+            buffer.erase(0, end + 1);
+            const auto answer = detail::parseWatchLine(line);
+            if (!answer) {
+                return false;
+            }
+            for (const auto &value : answer->values) {
+                listener(value);
+            }
+            if (answer->ended) {
+                return false;
+            }
+        }
+        return buffer.size() <= maxAnswerBytes;
+    }
+
+    void pause(steady::time_point deadline)
+    {
+        duration delay{};
+        {
+            const std::lock_guard lock{m_mutex};
+            delay = m_backoff.next();
+        }
+        std::this_thread::sleep_until(std::min(steady::now() + delay, deadline));
+    }
+
+    void resetBackoff()
+    {
+        const std::lock_guard lock{m_mutex};
+        m_backoff.reset();
+    }
+
+    // Counters and texts
+
+    static store_call_result resultOf(store_call kind, const exchange &answer)
+    {
+        if (answer.end == exchange_end::answered) {
+            const auto swap =
+                    kind == store_call::write ? detail::parseSwapAnswer(answer.body) : std::nullopt;
+            return swap && !swap->succeeded ? store_call_result::conflict : store_call_result::ok;
+        }
+        const bool maybe = kind == store_call::write && answer.end == exchange_end::unknown;
+        return maybe ? store_call_result::unknown : store_call_result::unavailable;
+    }
+
+    void count(store_call kind, store_call_result result)
+    {
+        const std::lock_guard lock{m_mutex};
+        ++m_counters.counts.at(static_cast<std::size_t>(kind)).at(static_cast<std::size_t>(result));
+    }
+
+    static std::string describe(const exchange &answer)
+    {
+        return answer.end == exchange_end::answered ? "malformed answer" : answer.detail;
+    }
+
+    static store_error noEndpoint()
+    {
+        return store_error{error_kind::store_unavailable, "no endpoint is configured"};
+    }
+
+    store_options m_options;
+    std::atomic<std::size_t> m_preferred = 0;
+    mutable std::mutex m_mutex;
+    detail::backoff m_backoff;
+    store_counters m_counters;
+};
+
+} // namespace
+
+std::string_view toText(store_call call) noexcept
+{
+    return callNames.at(static_cast<std::size_t>(call));
+}
+
+std::string_view toText(store_call_result result) noexcept
+{
+    return resultNames.at(static_cast<std::size_t>(result));
+}
+
+std::unique_ptr<store_client> makeEtcdClient(store_options options)
+{
+    return std::make_unique<etcd_client>(std::move(options));
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/standins/target_command.cpp
@@ -0,0 +1,7 @@
+#include "commands.hpp"
+namespace standins {
+int targetCommand(int, char **)
+{
+    return 2;
+}
+} // namespace standins
--- /dev/null
+++ b/tests/manifest_watcher_test.cpp
@@ -0,0 +1,158 @@
+#include "bamboohead/manifest_watcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Store under the test's control; a watch blocks until a change, a break or a stop.
+class scripted_store final : public store_client
+{
+public:
+    store_result<store_value> read(std::string_view) override
+    {
+        const std::lock_guard lock{mutex};
+        ++reads;
+        changed.notify_all();
+        if (readsFail) {
+            return store_error{};
+        }
+        return current;
+    }
+
+    store_result<store_revision> compareAndSwap(std::string_view, store_revision,
+                                                std::string_view) override
+    {
+        return store_error{};
+    }
+
+    store_error watch(std::string_view, const watch_listener &listener,
+                      std::stop_token stop) override
+    {
+        std::unique_lock lock{mutex};
+        ++watches;
+        changed.notify_all();
+        while (changed.wait(lock, stop, [this] { return event || breaks > 0; })) {
+            if (breaks > 0) {
+                --breaks;
+                return store_error{};
+            }
+            const auto value = *std::exchange(event, std::nullopt);
+            lock.unlock();
+            listener(value);
+            lock.lock();
+        }
+        return store_error{};
+    }
+
+    [[nodiscard]] store_counters counters() const override { return {}; }
+
+    template <typename Change>
+    void change(Change change)
+    {
+        const std::lock_guard lock{mutex};
+        change(*this);
+        changed.notify_all();
+    }
+
+    template <typename Condition>
+    bool waitFor(Condition condition)
+    {
+        std::unique_lock lock{mutex};
+        return changed.wait_for(lock, 20s, [&] { return condition(*this); });
+    }
+
+    std::mutex mutex;
+    std::condition_variable_any changed;
+    store_value current;
+    std::optional<store_value> event;
+    bool readsFail = false;
+    int breaks = 0;
+    int reads = 0;
+    int watches = 0;
+    std::vector<manifest_update> delivered;
+};
+
+struct watcher_fixture
+{
+    void start(duration readInterval)
+    {
+        watcher_options options;
+        options.readInterval = readInterval;
+        options.firstWatchBackoff = 1ms;
+        options.maxWatchBackoff = 2ms;
+        watcher = std::make_unique<manifest_watcher>(
+                store, time,
+                [this](const manifest_update &update) {
+                    store.change([&](auto &held) { held.delivered.push_back(update); });
+                },
+                options);
+    }
+
+    scripted_store store;
+    manual_clock time;
+    std::unique_ptr<manifest_watcher> watcher;
+};
+
+bool wasDelivered(const scripted_store &store, std::uint64_t version, time_point sentAt)
+{
+    return std::ranges::any_of(store.delivered, [&](const manifest_update &update) {
+        return update.version == config_version{version} && update.sentAt == sentAt;
+    });
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(watcher_fixture, "reads go on while the watch is silent and carry their own time")
+{
+    // Guards against an entry that takes a silent watch for proof that its version is current.
+    store.current = store_value{store_revision{7}, "text"};
+    start(1ms);
+    CHECK(store.waitFor([](auto &held) { return held.reads >= 3 && held.delivered.size() >= 3; }));
+    watcher.reset();
+    CHECK(wasDelivered(store, 7, time.now()));
+    CHECK(store.delivered.back().text == "text");
+    CHECK(store.watches == 1);
+}
+
+TEST_CASE_FIXTURE(watcher_fixture, "a change seen by the watch is delivered without a read's proof")
+{
+    // Guards against a change that waits for the next read, and against a delayed event being
+    // taken as proof of the present state.
+    start(1h);
+    CHECK(store.waitFor([](auto &held) { return held.watches == 1 && held.reads == 1; }));
+    store.change([](auto &held) { held.event = store_value{store_revision{8}, "new"}; });
+    CHECK(store.waitFor([](auto &held) { return held.delivered.size() == 1; }));
+    watcher.reset();
+    CHECK(wasDelivered(store, 8, time_point{}));
+    CHECK(store.reads == 1);
+}
+
+TEST_CASE_FIXTURE(watcher_fixture, "a broken watch is opened again and reads find the change")
+{
+    // Guards against a change that is lost between two watches.
+    start(1ms);
+    store.change([](auto &held) { held.breaks = 2; });
+    CHECK(store.waitFor([](auto &held) { return held.watches == 3; }));
+    store.change([](auto &held) { held.current = store_value{store_revision{9}, "late"}; });
+    CHECK(store.waitFor([&](auto &held) { return wasDelivered(held, 9, time.now()); }));
+}
+
+TEST_CASE_FIXTURE(watcher_fixture, "failed reads and an absent manifest deliver nothing")
+{
+    // Guards against a store outage or an empty store being taken as a confirmation.
+    store.readsFail = true;
+    start(1ms);
+    CHECK(store.waitFor([](auto &held) { return held.reads >= 3; }));
+    store.change([](auto &held) { held.readsFail = false; });
+    const auto before = store.reads;
+    CHECK(store.waitFor([&](auto &held) { return held.reads >= before + 3; }));
+    watcher.reset();
+    CHECK(store.delivered.empty());
+}
