--- /dev/null
+++ b/src/adapters/setting_table.cpp
@@ -0,0 +1,241 @@
+#include "bamboohead/settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr std::size_t maxNameLength = 64;
+constexpr std::int64_t maxPort = 65'535;
+constexpr std::int64_t maxSeeds = 16;
+constexpr std::int64_t maxStoreAddresses = 8;
+// Eight threads of the pool stay free for requests that do not wait.
+constexpr std::int64_t leastConnections = 16;
+constexpr std::int64_t mostConnections = 4'096;
+constexpr std::int64_t mostSeed = std::numeric_limits<std::int64_t>::max();
+constexpr std::string_view endpointScheme = "tcp://";
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 3> policyNames{"credits", "random", "two_choices"};
+
+bool isName(std::string_view text)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    };
+    return !text.empty() && text.size() <= maxNameLength && std::ranges::all_of(text, allowed);
+}
+
+bool isEndpoint(std::string_view text)
+{
+    return text.starts_with(endpointScheme) && isAddress(text.substr(endpointScheme.size()));
+}
+
+bool isHost(std::string_view text)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+               c == '-' || c == '.';
+    };
+    return !text.empty() && std::ranges::all_of(text, allowed);
+}
+
+bool isAddressOrEmpty(std::string_view text)
+{
+    return text.empty() || isAddress(text);
+}
+
+bool isAnyText(std::string_view)
+{
+    return true;
+}
+
+bool isLevel(std::string_view text)
+{
+    return std::ranges::find(levelNames, text) != levelNames.end();
+}
+
+bool isPolicy(std::string_view text)
+{
+    return std::ranges::find(policyNames, text) != policyNames.end();
+}
+
+void assignLevel(process_settings &settings, std::string text)
+{
+    const auto *const name = std::ranges::find(levelNames, text);
+    settings.log.level = static_cast<log_level>(name - levelNames.begin());
+}
+
+void assignPolicy(process_settings &settings, std::string text)
+{
+    settings.entry.policy = parsePlacementPolicy(text).value_or(placement_policy::credits);
+}
+
+setting_description textSetting(std::string_view path, std::string_view defaultText,
+                                std::string_view range, std::string_view help,
+                                bool (*valid)(std::string_view),
+                                void (*assign)(process_settings &, std::string))
+{
+    setting_description row;
+    row.path = path;
+    row.defaultText = defaultText;
+    row.range = range;
+    row.help = help;
+    row.valid = valid;
+    row.assignText = assign;
+    return row;
+}
+
+setting_description choiceSetting(std::string_view path, std::string_view defaultText,
+                                  std::string_view range, std::string_view help,
+                                  bool (*valid)(std::string_view),
+                                  void (*assign)(process_settings &, std::string))
+{
+    auto row = textSetting(path, defaultText, range, help, valid, assign);
+    row.type = setting_type::choice;
+    return row;
+}
+
+setting_description listSetting(std::string_view path, std::string_view range,
+                                std::string_view help, std::int64_t most,
+                                bool (*valid)(std::string_view),
+                                void (*assign)(process_settings &, std::vector<std::string>))
+{
+    setting_description row;
+    row.path = path;
+    row.type = setting_type::text_list;
+    row.defaultText = "[]";
+    row.range = range;
+    row.help = help;
+    row.most = most;
+    row.valid = valid;
+    row.assignList = assign;
+    return row;
+}
+
+struct bounds
+{
+    std::int64_t least;
+    std::int64_t most;
+};
+
+setting_description integerSetting(std::string_view path, std::string_view defaultText,
+                                   std::string_view range, std::string_view unit,
+                                   std::string_view help, bounds allowed,
+                                   void (*assign)(process_settings &, std::int64_t))
+{
+    setting_description row;
+    row.path = path;
+    row.type = setting_type::integer;
+    row.defaultText = defaultText;
+    row.range = range;
+    row.unit = unit;
+    row.help = help;
+    row.least = allowed.least;
+    row.most = allowed.most;
+    row.assignInteger = assign;
+    return row;
+}
+
+std::vector<setting_description> commonSettings()
+{
+    return {
+            textSetting("/zone", "", "1 to 64 of a-z, 0-9, - and _",
+                        "Availability zone of the process.", isName,
+                        [](auto &settings, auto value) { settings.zone = std::move(value); }),
+            textSetting("/endpoint", "", "tcp://host:port",
+                        "ZeroMQ endpoint that the process binds and that others connect to.",
+                        isEndpoint,
+                        [](auto &settings, auto value) { settings.endpoint = std::move(value); }),
+            listSetting("/seeds", "up to 16 of tcp://host:port",
+                        "Endpoints of entries to contact at start; an entry alone has none.",
+                        maxSeeds, isEndpoint,
+                        [](auto &settings, auto value) { settings.seeds = std::move(value); }),
+            choiceSetting("/log/level", R"("info")", "debug, info, warning, error",
+                          "Least severity that is logged.", isLevel, assignLevel),
+            textSetting("/log/file", R"("")", "a path, or empty for standard error",
+                        "File that log lines are appended to.", isAnyText,
+                        [](auto &settings, auto value) { settings.log.file = std::move(value); }),
+            textSetting(
+                    "/http/address", R"("127.0.0.1")", "a host name or IPv4 address",
+                    "Address that the HTTP server binds.", isHost,
+                    [](auto &settings, auto value) { settings.http.address = std::move(value); }),
+            integerSetting("/http/port", "", "1 to 65535", "", "Port that the HTTP server binds.",
+                           {1, maxPort},
+                           [](auto &settings, auto value) {
+                               settings.http.port = static_cast<std::uint16_t>(value);
+                           }),
+            integerSetting("/http/max_connections", "512", "16 to 4096", "connections",
+                           "Connections that an entry serves at the same time, one thread each; "
+                           "an agent always uses 16.",
+                           {leastConnections, mostConnections},
+                           [](auto &settings, auto value) {
+                               settings.http.maxConnections = static_cast<std::uint32_t>(value);
+                           }),
+    };
+}
+
+std::vector<setting_description> roleSettings()
+{
+    return {
+            listSetting(
+                    "/entry/store", "up to 8 of host:port",
+                    "Addresses of the store's HTTP gateway; without any, the manifest comes "
+                    "from other entries and from the operators' tool only.",
+                    maxStoreAddresses, isAddress,
+                    [](auto &settings, auto value) { settings.entry.store = std::move(value); }),
+            choiceSetting("/entry/policy", R"("credits")", "credits, random, two_choices",
+                          "How an entry chooses the agent of a task; all but credits are "
+                          "baselines for comparison.",
+                          isPolicy, assignPolicy),
+            integerSetting("/entry/seed", "0", "0 to 9223372036854775807", "",
+                           "Seed of random choices; 0 takes a random one.", {0, mostSeed},
+                           [](auto &settings, auto value) {
+                               settings.entry.seed = static_cast<std::uint64_t>(value);
+                           }),
+            textSetting(
+                    "/agent/target", R"("")", "host:port, or empty",
+                    "Address of the target; when empty, the one that the target announces.",
+                    isAddressOrEmpty,
+                    [](auto &settings, auto value) { settings.agent.target = std::move(value); }),
+            integerSetting("/agent/seed", "0", "0 to 9223372036854775807", "",
+                           "Seed of random choices; 0 takes a random one.", {0, mostSeed},
+                           [](auto &settings, auto value) {
+                               settings.agent.seed = static_cast<std::uint64_t>(value);
+                           }),
+    };
+}
+
+std::vector<setting_description> allSettings()
+{
+    auto rows = commonSettings();
+    const auto more = roleSettings();
+    rows.insert(rows.end(), more.begin(), more.end());
+    return rows;
+}
+
+} // namespace
+
+bool isAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || !isHost(text.substr(0, colon))) {
+        return false;
+    }
+    const auto digits = text.substr(colon + 1);
+    std::int64_t port = 0;
+    const auto *const end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, port);
+    return parsed.ec == std::errc{} && parsed.ptr == end && port >= 1 && port <= maxPort;
+}
+
+std::span<const setting_description> settingDescriptions()
+{
+    static const auto rows = allSettings();
+    return rows;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/settings.cpp
@@ -0,0 +1,226 @@
+#include "bamboohead/settings.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace bamboohead {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 4> typeNames{"text", "list of texts", "integer", "choice"};
+
+json::value parseJson(std::string_view text, json::error_code &error)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    return json::parse({text.data(), text.size()}, error, {}, options);
+}
+
+config_fault valueFault(const setting_description &row, const json::value &value)
+{
+    std::string message = "value " + json::serialize(value) + " is not allowed; expected ";
+    message += typeNames.at(static_cast<std::size_t>(row.type));
+    message += ": ";
+    message += row.range;
+    if (!row.unit.empty()) {
+        message += " ";
+        message += row.unit;
+    }
+    return config_fault{std::string{row.path}, std::move(message)};
+}
+
+bool takeText(const setting_description &row, const json::value &value, process_settings &settings)
+{
+    const auto *const text = value.if_string();
+    if (text == nullptr || !row.valid({text->data(), text->size()})) {
+        return false;
+    }
+    row.assignText(settings, std::string{text->data(), text->size()});
+    return true;
+}
+
+bool takeInteger(const setting_description &row, const json::value &value,
+                 process_settings &settings)
+{
+    const auto *const number = value.if_int64();
+    if (number == nullptr || *number < row.least || *number > row.most) {
+        return false;
+    }
+    row.assignInteger(settings, *number);
+    return true;
+}
+
+bool takeList(const setting_description &row, const json::value &value, process_settings &settings)
+{
+    const auto *const array = value.if_array();
+    if (array == nullptr || array->size() > static_cast<std::size_t>(row.most)) {
+        return false;
+    }
+    std::vector<std::string> items;
+    for (const auto &item : *array) {
+        const auto *const text = item.if_string();
+        if (text == nullptr || !row.valid({text->data(), text->size()})) {
+            return false;
+        }
+        items.emplace_back(text->data(), text->size());
+    }
+    row.assignList(settings, std::move(items));
+    return true;
+}
+
+bool takeValue(const setting_description &row, const json::value &value, process_settings &settings)
+{
+    switch (row.type) {
+    case setting_type::text:
+    case setting_type::choice:
+        return takeText(row, value, settings);
+    case setting_type::integer:
+        return takeInteger(row, value, settings);
+    case setting_type::text_list:
+        return takeList(row, value, settings);
+    }
+    return false;
+}
+
+bool isSection(std::string_view path)
+{
+    const auto prefix = std::string{path} + "/";
+    return std::ranges::any_of(settingDescriptions(),
+                               [&](const auto &row) { return row.path.starts_with(prefix); });
+}
+
+bool isSetting(std::string_view path)
+{
+    return std::ranges::find(settingDescriptions(), path, &setting_description::path) !=
+           settingDescriptions().end();
+}
+
+void findUnknownKeys(const json::object &object, const std::string &prefix,
+                     std::vector<config_fault> &faults)
+{
+    for (const auto &member : object) {
+        const auto path = prefix + "/" + std::string{member.key()};
+        if (isSetting(path)) {
+            continue;
+        }
+        if (!isSection(path)) {
+            faults.push_back({path, "unknown key"});
+        } else if (const auto *const section = member.value().if_object()) {
+            findUnknownKeys(*section, path, faults);
+        } else {
+            faults.push_back(
+                    {path, "value " + json::serialize(member.value()) + " is not an object"});
+        }
+    }
+}
+
+/// Finds a value by its JSON pointer; null when it is absent.
+const json::value *findValue(const json::object &root, std::string_view path)
+{
+    const json::object *object = &root;
+    while (true) {
+        path.remove_prefix(1);
+        const auto slash = path.find('/');
+        const auto key = path.substr(0, slash);
+        const auto *const value = object->if_contains({key.data(), key.size()});
+        if (value == nullptr || slash == std::string_view::npos) {
+            return value;
+        }
+        object = value->if_object();
+        if (object == nullptr) {
+            return nullptr;
+        }
+        path.remove_prefix(slash);
+    }
+}
+
+void readSetting(const setting_description &row, const json::object &root,
+                 process_settings &settings, std::vector<config_fault> &faults)
+{
+    const auto *const found = findValue(root, row.path);
+    if (found == nullptr && row.defaultText.empty()) {
+        faults.push_back({std::string{row.path},
+                          "required, but absent; expected " + std::string{row.range}});
+        return;
+    }
+    const auto value = found != nullptr
+                               ? *found
+                               : json::parse({row.defaultText.data(), row.defaultText.size()});
+    if (!takeValue(row, value, settings)) {
+        faults.push_back(valueFault(row, value));
+    }
+}
+
+std::string referenceRow(const setting_description &row)
+{
+    std::ostringstream line;
+    line << "| `" << row.path << "` | " << typeNames.at(static_cast<std::size_t>(row.type))
+         << " | ";
+    if (row.defaultText.empty()) {
+        line << "required";
+    } else {
+        line << "`" << row.defaultText << "`";
+    }
+    line << " | " << row.range << " | " << row.unit << " | " << row.help << " |\n";
+    return line.str();
+}
+
+} // namespace
+
+settings_result parseSettings(std::string_view text)
+{
+    json::error_code error;
+    const auto value = parseJson(text, error);
+    if (error) {
+        return std::vector{config_fault{"", "not valid JSON: " + error.message()}};
+    }
+    const auto *const root = value.if_object();
+    if (root == nullptr) {
+        return std::vector{config_fault{"", "the settings are not an object"}};
+    }
+    process_settings settings;
+    std::vector<config_fault> faults;
+    findUnknownKeys(*root, "", faults);
+    for (const auto &row : settingDescriptions()) {
+        readSetting(row, *root, settings, faults);
+    }
+    if (!faults.empty()) {
+        return faults;
+    }
+    return settings;
+}
+
+settings_result loadSettings(const std::string &file)
+{
+    const std::ifstream stream{file};
+    if (!stream) {
+        return std::vector{config_fault{"", "cannot be read"}};
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseSettings(text.str());
+}
+
+std::string describeFault(const std::string &file, const config_fault &fault)
+{
+    return file + ": " + (fault.path.empty() ? "" : fault.path + ": ") + fault.message;
+}
+
+std::string settingsReference()
+{
+    std::string text = "| setting | type | default | allowed | unit | meaning |\n"
+                       "|---|---|---|---|---|---|\n";
+    for (const auto &row : settingDescriptions()) {
+        text += referenceRow(row);
+    }
+    return text;
+}
+
+} // namespace bamboohead
