--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,103 @@
+#include "bamboohead/http_server.hpp"
+
+#include "bamboohead/detail/http/job_json.hpp"
+#include "bamboohead/job.hpp"
+
+#include <stdexcept>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr time_t keepAliveSeconds = 5;
+constexpr std::size_t maxRequestsPerConnection = 1'000'000;
+constexpr time_t ioTimeoutSeconds = 10;
+constexpr int statusUnavailable = 503;
+constexpr int statusTooLarge = 413;
+constexpr int statusNotFound = 404;
+constexpr int firstErrorStatus = 400;
+constexpr const char *jsonType = "application/json";
+constexpr const char *metricsType = "text/plain; version=0.0.4";
+
+/// Gives a body to errors that the library answers by itself.
+void describeError(const httplib::Request &, httplib::Response &response)
+{
+    if (response.status < firstErrorStatus || !response.body.empty()) {
+        return;
+    }
+    detail::request_fault fault;
+    if (response.status == statusTooLarge) {
+        fault.kind = error_kind::body_too_large;
+    } else if (response.status == statusNotFound) {
+        fault.message = "no such path";
+    }
+    response.set_content(detail::toJson(fault), jsonType);
+}
+
+} // namespace
+
+http_server::http_server(const http_settings &settings, std::uint32_t threads,
+                         const process_metrics &metrics, const std::atomic<bool> &draining,
+                         state_source state)
+    : m_settings{settings}
+    , m_state{std::move(state)}
+{
+    // The library owns and deletes the queue.
+    m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    m_server.set_keep_alive_timeout(keepAliveSeconds);
+    m_server.set_keep_alive_max_count(maxRequestsPerConnection);
+    m_server.set_read_timeout(ioTimeoutSeconds);
+    m_server.set_write_timeout(ioTimeoutSeconds);
+    m_server.set_payload_max_length(maxBodyBytes);
+    m_server.set_tcp_nodelay(true);
+    m_server.set_error_handler(httplib::Server::Handler{describeError});
+    addCommonRoutes(metrics, draining);
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+void http_server::start()
+{
+    if (!m_server.bind_to_port(m_settings.address, m_settings.port)) {
+        throw std::runtime_error{"cannot bind HTTP to " + m_settings.address + ":" +
+                                 std::to_string(m_settings.port)};
+    }
+    m_thread = std::thread{[this] { m_server.listen_after_bind(); }};
+}
+
+void http_server::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    // The library ignores stop() before its loop runs.
+    while (!m_server.is_running()) {
+        std::this_thread::yield();
+    }
+    m_server.stop();
+    m_thread.join();
+}
+
+void http_server::addCommonRoutes(const process_metrics &metrics, const std::atomic<bool> &draining)
+{
+    m_server.Get("/metrics", [&metrics](const httplib::Request &, httplib::Response &response) {
+        response.set_content(metrics.serialize(), metricsType);
+    });
+    m_server.Get("/healthz", [&draining](const httplib::Request &, httplib::Response &response) {
+        const bool stopping = draining.load();
+        response.status = stopping ? statusUnavailable : 200;
+        response.set_content(stopping ? "stopping\n" : "ok\n", "text/plain");
+    });
+    m_server.Get("/v1/state", [this](const httplib::Request &, httplib::Response &response) {
+        if (const auto state = m_state()) {
+            response.set_content(*state, jsonType);
+        } else {
+            response.status = statusUnavailable;
+        }
+    });
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/metrics.cpp
@@ -0,0 +1,198 @@
+#include "bamboohead/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <vector>
+
+namespace bamboohead {
+
+namespace {
+
+/// One counter of a plain counter structure.
+template <typename Counters>
+struct counter_row
+{
+    const char *name;
+    const char *help;
+    std::uint64_t Counters::*member;
+};
+
+using entry_row = counter_row<entry_counters>;
+using agent_row = counter_row<agent_counters>;
+using transport_row = counter_row<transport_counters>;
+
+constexpr std::array entryRows{
+        entry_row{"bamboohead_sessions_opened_total", "Sessions opened at this entry.",
+                  &entry_counters::sessionsOpened},
+        entry_row{"bamboohead_jobs_submitted_total", "Jobs submitted to this entry.",
+                  &entry_counters::jobsSubmitted},
+        entry_row{"bamboohead_jobs_complete_total", "Jobs whose tasks all finished.",
+                  &entry_counters::jobsComplete},
+        entry_row{"bamboohead_jobs_failed_total", "Jobs that failed.", &entry_counters::jobsFailed},
+        entry_row{"bamboohead_jobs_refused_total", "Jobs refused before anything ran.",
+                  &entry_counters::jobsRefused},
+        entry_row{"bamboohead_orders_sent_total", "Start orders sent to agents.",
+                  &entry_counters::ordersSent},
+        entry_row{"bamboohead_orders_refused_total", "Start orders refused by agents.",
+                  &entry_counters::ordersRefused},
+        entry_row{"bamboohead_takeovers_total", "Homes taken over.", &entry_counters::takeovers},
+        entry_row{"bamboohead_core_messages_dropped_total",
+                  "Received messages that the decision core dropped.",
+                  &entry_counters::messagesDropped},
+};
+
+constexpr std::array agentRows{
+        agent_row{"bamboohead_tasks_started_total", "Tasks started on the target.",
+                  &agent_counters::tasksStarted},
+        agent_row{"bamboohead_tasks_finished_total", "Tasks that finished.",
+                  &agent_counters::tasksFinished},
+        agent_row{"bamboohead_tasks_failed_total", "Tasks that failed.",
+                  &agent_counters::tasksFailed},
+        agent_row{"bamboohead_orders_refused_total", "Start orders refused.",
+                  &agent_counters::ordersRefused},
+        agent_row{"bamboohead_core_messages_dropped_total",
+                  "Received messages that the decision core dropped.",
+                  &agent_counters::messagesDropped},
+};
+
+constexpr std::array transportRows{
+        transport_row{"bamboohead_messages_sent_total", "Messages queued for a peer.",
+                      &transport_counters::sent},
+        transport_row{"bamboohead_messages_received_total", "Well-formed messages received.",
+                      &transport_counters::received},
+        transport_row{"bamboohead_messages_malformed_total", "Received messages that do not parse.",
+                      &transport_counters::malformed},
+        transport_row{"bamboohead_messages_dropped_total", "Messages that could not be sent.",
+                      &transport_counters::dropped},
+        transport_row{"bamboohead_peers_opened_total", "Connections to peers opened.",
+                      &transport_counters::peersOpened},
+        transport_row{"bamboohead_peers_closed_total", "Connections to idle peers closed.",
+                      &transport_counters::peersClosed},
+};
+
+/// Prometheus counters of one counter structure, created with its first update.
+template <typename Counters, std::size_t Size>
+class counter_group
+{
+public:
+    explicit counter_group(const std::array<counter_row<Counters>, Size> &rows)
+        : m_rows{rows}
+    {}
+
+    void update(prometheus::Registry &registry, const Counters &counters)
+    {
+        if (m_counters.empty()) {
+            create(registry);
+        }
+        for (std::size_t i = 0; i < Size; ++i) {
+            const auto grown = counters.*m_rows[i].member - m_seen.*m_rows[i].member;
+            if (grown != 0) {
+                m_counters[i]->Increment(static_cast<double>(grown));
+            }
+        }
+        m_seen = counters;
+    }
+
+private:
+    void create(prometheus::Registry &registry)
+    {
+        for (const auto &row : m_rows) {
+            auto &family =
+                    prometheus::BuildCounter().Name(row.name).Help(row.help).Register(registry);
+            m_counters.push_back(&family.Add({}));
+        }
+    }
+
+    const std::array<counter_row<Counters>, Size> &m_rows;
+    std::vector<prometheus::Counter *> m_counters;
+    Counters m_seen;
+};
+
+prometheus::Histogram::BucketBoundaries taskSeconds()
+{
+    return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30};
+}
+
+prometheus::Histogram::BucketBoundaries loopSeconds()
+{
+    return {0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 1};
+}
+
+prometheus::Histogram &makeHistogram(prometheus::Registry &registry, const char *name,
+                                     const char *help,
+                                     const prometheus::Histogram::BucketBoundaries &boundaries)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({},
+                                                                                     boundaries);
+}
+
+double seconds(duration time)
+{
+    return std::chrono::duration<double>{time}.count();
+}
+
+} // namespace
+
+class process_metrics::implementation
+{
+public:
+    prometheus::Registry registry;
+    counter_group<entry_counters, entryRows.size()> entry{entryRows};
+    counter_group<agent_counters, agentRows.size()> agent{agentRows};
+    counter_group<transport_counters, transportRows.size()> messages{transportRows};
+    prometheus::Histogram &response{
+            makeHistogram(registry, "bamboohead_job_response_seconds",
+                          "Time from the arrival of a submission to its answer.", taskSeconds())};
+    prometheus::Histogram &task{makeHistogram(registry, "bamboohead_task_run_seconds",
+                                              "Run time of tasks.", taskSeconds())};
+    prometheus::Histogram &loop{makeHistogram(registry, "bamboohead_control_loop_seconds",
+                                              "Work of one pass of the control loop.",
+                                              loopSeconds())};
+};
+
+process_metrics::process_metrics()
+    : m_impl{std::make_unique<implementation>()}
+{}
+
+process_metrics::~process_metrics() = default;
+
+void process_metrics::update(const entry_counters &counters)
+{
+    m_impl->entry.update(m_impl->registry, counters);
+}
+
+void process_metrics::update(const agent_counters &counters)
+{
+    m_impl->agent.update(m_impl->registry, counters);
+}
+
+void process_metrics::update(const transport_counters &counters)
+{
+    m_impl->messages.update(m_impl->registry, counters);
+}
+
+void process_metrics::observeResponse(duration time)
+{
+    m_impl->response.Observe(seconds(time));
+}
+
+void process_metrics::observeTask(duration time)
+{
+    m_impl->task.Observe(seconds(time));
+}
+
+void process_metrics::observeLoop(duration time)
+{
+    m_impl->loop.Observe(seconds(time));
+}
+
+std::string process_metrics::serialize() const
+{
+    return prometheus::TextSerializer{}.Serialize(m_impl->registry.Collect());
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/runtime.cpp
@@ -0,0 +1,75 @@
+#include "bamboohead/runtime.hpp"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <sys/signalfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace bamboohead {
+
+namespace {
+
+int checkedDescriptor(int descriptor, const char *what)
+{
+    if (descriptor < 0) {
+        throw std::system_error{errno, std::generic_category(), what};
+    }
+    return descriptor;
+}
+
+int openSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return checkedDescriptor(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC), "signalfd");
+}
+
+} // namespace
+
+wake_signal::wake_signal()
+    : m_descriptor{checkedDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd")}
+{}
+
+wake_signal::~wake_signal()
+{
+    close(m_descriptor);
+}
+
+void wake_signal::notify() noexcept
+{
+    if (!m_pending.exchange(true)) {
+        const std::uint64_t one = 1;
+        // A full counter keeps the descriptor readable, so a failed write changes nothing.
+        [[maybe_unused]] const auto written = write(m_descriptor, &one, sizeof one);
+    }
+}
+
+void wake_signal::clear() noexcept
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto taken = read(m_descriptor, &count, sizeof count);
+    m_pending.exchange(false); // acquires what the last notify() published
+}
+
+stop_signals::stop_signals()
+    : m_descriptor{openSignals()}
+{}
+
+stop_signals::~stop_signals()
+{
+    close(m_descriptor);
+}
+
+void stop_signals::take() noexcept
+{
+    signalfd_siginfo information{};
+    [[maybe_unused]] const auto taken = read(m_descriptor, &information, sizeof information);
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/transport.cpp
@@ -0,0 +1,271 @@
+#include "bamboohead/transport.hpp"
+
+#include <zmq.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <stdexcept>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr int highWaterMark = 4'000; // messages queued a peer
+constexpr std::size_t maxHeldMessages = 256;
+constexpr std::size_t maxHeldBytes = maxMessageBytes;
+constexpr int reconnectInterval = 50;      // milliseconds
+constexpr int maxReconnectInterval = 1000; // milliseconds
+// Detects a peer that vanished without closing its connection; both in milliseconds.
+constexpr int pingInterval = 2000;
+constexpr int pingTimeout = 5000;
+constexpr duration maintenanceInterval = std::chrono::milliseconds{10};
+
+struct held_message
+{
+    std::string payload;
+    time_point since;
+};
+
+struct peer
+{
+    zmq::socket_t socket;
+    time_point lastUsed;
+    bool connected = false; ///< the connection accepted a message before
+    std::deque<held_message> held;
+    std::size_t heldBytes = 0;
+};
+
+void setCommonOptions(zmq::socket_t &socket)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, highWaterMark);
+    socket.set(zmq::sockopt::rcvhwm, highWaterMark);
+    socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(maxMessageBytes));
+    socket.set(zmq::sockopt::heartbeat_ivl, pingInterval);
+    socket.set(zmq::sockopt::heartbeat_timeout, pingTimeout);
+}
+
+bool sendNow(zmq::socket_t &socket, const std::string &payload)
+{
+    zmq::message_t message{payload.data(), payload.size()};
+    return socket.send(message, zmq::send_flags::dontwait).has_value();
+}
+
+} // namespace
+
+class transport::implementation
+{
+public:
+    implementation(const std::string &endpoint, const clock &clock)
+        : m_clock{clock}
+        , m_inbox{m_context, zmq::socket_type::router}
+    {
+        setCommonOptions(m_inbox);
+        try {
+            m_inbox.bind(endpoint);
+        } catch (const zmq::error_t &error) {
+            throw std::runtime_error{"cannot bind " + endpoint + ": " + error.what()};
+        }
+    }
+
+    std::string endpoint() const { return m_inbox.get(zmq::sockopt::last_endpoint); }
+
+    void send(const std::string &endpoint, const wire::Envelope &envelope)
+    {
+        auto payload = envelope.SerializeAsString();
+        auto *const target = payload.size() <= maxMessageBytes ? open(endpoint) : nullptr;
+        if (target == nullptr) {
+            ++m_counters.dropped;
+            return;
+        }
+        target->lastUsed = m_clock.now();
+        if (target->held.empty() && sendNow(target->socket, payload)) {
+            target->connected = true;
+            ++m_counters.sent;
+        } else {
+            hold(*target, std::move(payload));
+        }
+    }
+
+    wait_result wait(duration limit, int wakeDescriptor, int signalDescriptor)
+    {
+        std::array<zmq::pollitem_t, 3> items{
+                zmq::pollitem_t{m_inbox.handle(), 0, ZMQ_POLLIN, 0},
+                zmq::pollitem_t{nullptr, wakeDescriptor, ZMQ_POLLIN, 0},
+                zmq::pollitem_t{nullptr, signalDescriptor, ZMQ_POLLIN, 0},
+        };
+        if (wakeDescriptor < 0) {
+            items[1] = items[0];
+        }
+        if (signalDescriptor < 0) {
+            items[2] = items[0];
+        }
+        const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(limit);
+        try {
+            zmq::poll(items, rounded);
+        } catch (const zmq::error_t &error) {
+            if (error.num() != EINTR) {
+                throw;
+            }
+        }
+        return wait_result{signalDescriptor >= 0 && (items[2].revents & ZMQ_POLLIN) != 0};
+    }
+
+    std::size_t receiveAll(const receiver &receive, std::size_t most)
+    {
+        std::size_t taken = 0;
+        while (taken < most && receiveOne(receive)) {
+            ++taken;
+        }
+        return taken;
+    }
+
+    void maintain()
+    {
+        const auto now = m_clock.now();
+        if (now - m_lastMaintenance < maintenanceInterval) {
+            return;
+        }
+        m_lastMaintenance = now;
+        for (auto &entry : m_peers) {
+            flush(entry.second, now);
+        }
+        const auto closed = std::erase_if(m_peers, [&](const auto &entry) {
+            return now - entry.second.lastUsed >= peerIdleLimit;
+        });
+        m_counters.peersClosed += closed;
+    }
+
+    const transport_counters &counters() const noexcept { return m_counters; }
+    std::size_t peers() const noexcept { return m_peers.size(); }
+
+private:
+    /// Null when the endpoint is malformed.
+    peer *open(const std::string &endpoint)
+    {
+        const auto known = m_peers.find(endpoint);
+        if (known != m_peers.end()) {
+            return &known->second;
+        }
+        zmq::socket_t socket{m_context, zmq::socket_type::dealer};
+        setCommonOptions(socket);
+        socket.set(zmq::sockopt::immediate, true);
+        socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
+        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
+        try {
+            socket.connect(endpoint);
+        } catch (const zmq::error_t &) {
+            return nullptr;
+        }
+        ++m_counters.peersOpened;
+        peer created;
+        created.socket = std::move(socket);
+        return &m_peers.emplace(endpoint, std::move(created)).first->second;
+    }
+
+    /// Keeps a message for the first connection; drops it when the connection was up before, since
+    /// then the queue is full or the peer is lost.
+    void hold(peer &target, std::string payload)
+    {
+        const auto bytes = target.heldBytes + payload.size();
+        if (target.connected || target.held.size() >= maxHeldMessages || bytes > maxHeldBytes) {
+            ++m_counters.dropped;
+            return;
+        }
+        target.heldBytes = bytes;
+        target.held.push_back({std::move(payload), m_clock.now()});
+    }
+
+    void flush(peer &target, time_point now)
+    {
+        while (!target.held.empty()) {
+            const auto &message = target.held.front();
+            if (sendNow(target.socket, message.payload)) {
+                target.connected = true;
+                ++m_counters.sent;
+            } else if (now - message.since >= connectGrace) {
+                ++m_counters.dropped;
+            } else {
+                return;
+            }
+            target.heldBytes -= message.payload.size();
+            target.held.pop_front();
+        }
+    }
+
+    bool receiveOne(const receiver &receive)
+    {
+        zmq::message_t identity;
+        if (!m_inbox.recv(identity, zmq::recv_flags::dontwait)) {
+            return false;
+        }
+        std::size_t parts = 0;
+        zmq::message_t payload;
+        while (m_inbox.get(zmq::sockopt::rcvmore)) {
+            (void)m_inbox.recv(payload, zmq::recv_flags::none);
+            ++parts;
+        }
+        wire::Envelope envelope;
+        const auto size = static_cast<int>(payload.size());
+        if (parts != 1 || !envelope.ParseFromArray(payload.data(), size)) {
+            ++m_counters.malformed;
+            return true;
+        }
+        ++m_counters.received;
+        receive(envelope);
+        return true;
+    }
+
+    const clock &m_clock;
+    zmq::context_t m_context{1};
+    zmq::socket_t m_inbox;
+    std::unordered_map<std::string, peer> m_peers;
+    time_point m_lastMaintenance;
+    transport_counters m_counters;
+};
+
+transport::transport(const std::string &endpoint, const clock &clock)
+    : m_impl{std::make_unique<implementation>(endpoint, clock)}
+{}
+
+transport::~transport() = default;
+
+std::string transport::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+void transport::send(const std::string &endpoint, const wire::Envelope &envelope)
+{
+    m_impl->send(endpoint, envelope);
+}
+
+wait_result transport::wait(duration limit, int wakeDescriptor, int signalDescriptor)
+{
+    return m_impl->wait(limit, wakeDescriptor, signalDescriptor);
+}
+
+std::size_t transport::receiveAll(const receiver &receive, std::size_t most)
+{
+    return m_impl->receiveAll(receive, most);
+}
+
+void transport::maintain()
+{
+    m_impl->maintain();
+}
+
+const transport_counters &transport::counters() const noexcept
+{
+    return m_impl->counters();
+}
+
+std::size_t transport::peers() const noexcept
+{
+    return m_impl->peers();
+}
+
+} // namespace bamboohead
