--- /dev/null
+++ b/src/policy/placement.cpp
@@ -0,0 +1,398 @@
+#include "bamboohead/placement.hpp"
+
+#include <boost/intrusive/set.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <map>
+#include <random>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace bamboohead {
+
+namespace {
+
+namespace intrusive = boost::intrusive;
+
+struct policy_name
+{
+    placement_policy policy;
+    std::string_view name;
+};
+
+constexpr std::array policyNames{
+        policy_name{placement_policy::credits, "credits"},
+        policy_name{placement_policy::random, "random"},
+        policy_name{placement_policy::two_choices, "two_choices"},
+};
+
+/// What available() says for a baseline, which is not limited by credits.
+constexpr std::uint64_t unlimitedOrders = std::numeric_limits<std::uint32_t>::max();
+
+/// Random draws before all agents of the service are searched for a usable one.
+constexpr int maxDraws = 8;
+
+struct agent_record
+{
+    incarnation_id agent = incarnation_id::none;
+    agent_load load;
+    std::uint64_t usedTotal = 0;
+    std::uint32_t ordersSinceReport = 0;
+    std::uint64_t tieBreak = 0;
+    bool otherZone = false;
+    std::size_t position = 0; ///< index among the agents of the service
+    intrusive::set_member_hook<intrusive::link_mode<intrusive::safe_link>> hook;
+
+    [[nodiscard]] std::uint64_t unused() const
+    {
+        return load.issuedTotal > usedTotal ? load.issuedTotal - usedTotal : 0;
+    }
+    [[nodiscard]] std::int64_t busy() const
+    {
+        return std::int64_t{load.running} + load.queued + ordersSinceReport;
+    }
+    [[nodiscard]] auto rank() const
+    {
+        return std::tuple{busy() - load.slots, otherZone, tieBreak, agent};
+    }
+};
+
+struct better_agent
+{
+    bool operator()(const agent_record &left, const agent_record &right) const
+    {
+        return left.rank() < right.rank();
+    }
+};
+
+using ranked_agents = intrusive::set<
+        agent_record,
+        intrusive::member_hook<agent_record, decltype(agent_record::hook), &agent_record::hook>,
+        intrusive::compare<better_agent>>;
+
+using usable_check = std::function<bool(incarnation_id)>;
+
+struct service_agents
+{
+    std::vector<agent_record *> all;
+    ranked_agents ranked; ///< those that are not leaving and have an unused credit, best first
+    std::uint64_t unused = 0;
+};
+
+} // namespace
+
+std::string_view toText(placement_policy policy) noexcept
+{
+    const auto *const found = std::ranges::find(policyNames, policy, &policy_name::policy);
+    return found == policyNames.end() ? std::string_view{} : found->name;
+}
+
+std::optional<placement_policy> parsePlacementPolicy(std::string_view name) noexcept
+{
+    const auto *const found = std::ranges::find(policyNames, name, &policy_name::name);
+    if (found == policyNames.end()) {
+        return std::nullopt;
+    }
+    return found->policy;
+}
+
+class credit_account::implementation
+{
+public:
+    implementation(placement_policy policy, std::string zone, std::uint64_t seed)
+        : m_policy{policy}
+        , m_zone{std::move(zone)}
+        , m_random{seed}
+    {}
+
+    void report(incarnation_id agent, const agent_load &load);
+    void remove(incarnation_id agent);
+    std::optional<incarnation_id> take(std::string_view service, const usable_check &usable);
+    std::uint64_t returnUnused(incarnation_id agent);
+    [[nodiscard]] usage usageOf(incarnation_id agent) const;
+    [[nodiscard]] std::uint64_t available(std::string_view service) const;
+    [[nodiscard]] std::uint32_t slots(std::string_view service, const usable_check &usable) const;
+    [[nodiscard]] std::vector<std::pair<incarnation_id, agent_load>> agents() const;
+
+private:
+    void join(agent_record &record);
+    void leave(agent_record &record);
+    void rankIn(service_agents &service, agent_record &record);
+    static void rankOut(service_agents &service, agent_record &record);
+    void use(service_agents &service, agent_record &record);
+    agent_record *bestWithCredit(service_agents &service, const usable_check &usable) const;
+    agent_record *draw(service_agents &service, const usable_check &usable);
+    agent_record *lessLoadedOfTwo(service_agents &service, const usable_check &usable);
+    [[nodiscard]] const service_agents *find(std::string_view service) const;
+
+    placement_policy m_policy;
+    std::string m_zone;
+    std::mt19937_64 m_random;
+    std::unordered_map<incarnation_id, agent_record> m_agents; ///< outlives the ranked sets
+    std::map<std::string, service_agents, std::less<>> m_services;
+};
+
+void credit_account::implementation::rankIn(service_agents &service, agent_record &record)
+{
+    if (record.load.leaving || record.unused() == 0) {
+        return;
+    }
+    record.tieBreak = m_random();
+    service.unused += record.unused();
+    service.ranked.insert(record);
+}
+
+void credit_account::implementation::rankOut(service_agents &service, agent_record &record)
+{
+    if (!record.hook.is_linked()) {
+        return;
+    }
+    service.unused -= record.unused();
+    service.ranked.erase(service.ranked.iterator_to(record));
+}
+
+void credit_account::implementation::join(agent_record &record)
+{
+    auto &service = m_services[record.load.service];
+    record.position = service.all.size();
+    service.all.push_back(&record);
+    rankIn(service, record);
+}
+
+void credit_account::implementation::leave(agent_record &record)
+{
+    const auto found = m_services.find(record.load.service);
+    auto &service = found->second;
+    rankOut(service, record);
+    service.all[record.position] = service.all.back();
+    service.all[record.position]->position = record.position;
+    service.all.pop_back();
+    if (service.all.empty()) {
+        m_services.erase(found);
+    }
+}
+
+void credit_account::implementation::report(incarnation_id agent, const agent_load &load)
+{
+    const auto found = m_agents.find(agent);
+    const bool known = found != m_agents.end();
+    if (known) {
+        const auto &held = found->second.load;
+        if (std::tie(load.creditEpoch, load.issuedTotal) <
+            std::tie(held.creditEpoch, held.issuedTotal)) {
+            return;
+        }
+        leave(found->second);
+    }
+    auto &record = known ? found->second : m_agents[agent];
+    if (record.load.creditEpoch != load.creditEpoch) {
+        record.usedTotal = 0;
+    }
+    record.agent = agent;
+    record.load = load;
+    record.ordersSinceReport = 0;
+    record.otherZone = load.zone != m_zone;
+    join(record);
+}
+
+void credit_account::implementation::remove(incarnation_id agent)
+{
+    const auto found = m_agents.find(agent);
+    if (found != m_agents.end()) {
+        leave(found->second);
+        m_agents.erase(found);
+    }
+}
+
+void credit_account::implementation::use(service_agents &service, agent_record &record)
+{
+    rankOut(service, record);
+    ++record.usedTotal;
+    ++record.ordersSinceReport;
+    rankIn(service, record);
+}
+
+agent_record *credit_account::implementation::bestWithCredit(service_agents &service,
+                                                             const usable_check &usable) const
+{
+    const auto found = std::ranges::find_if(
+            service.ranked, [&](const agent_record &record) { return usable(record.agent); });
+    return found == service.ranked.end() ? nullptr : &*found;
+}
+
+agent_record *credit_account::implementation::draw(service_agents &service,
+                                                   const usable_check &usable)
+{
+    const auto fits = [&](const agent_record *record) {
+        return !record->load.leaving && usable(record->agent);
+    };
+    const auto pick = [&](const std::vector<agent_record *> &from) {
+        std::uniform_int_distribution<std::size_t> index{0, from.size() - 1};
+        return from[index(m_random)];
+    };
+    for (int attempt = 0; attempt < maxDraws; ++attempt) {
+        auto *const record = pick(service.all);
+        if (fits(record)) {
+            return record;
+        }
+    }
+    std::vector<agent_record *> fitting;
+    std::ranges::copy_if(service.all, std::back_inserter(fitting), fits);
+    return fitting.empty() ? nullptr : pick(fitting);
+}
+
+agent_record *credit_account::implementation::lessLoadedOfTwo(service_agents &service,
+                                                              const usable_check &usable)
+{
+    auto *const first = draw(service, usable);
+    auto *const second = draw(service, usable);
+    if (first == nullptr || second == nullptr) {
+        return first;
+    }
+    return second->busy() < first->busy() ? second : first;
+}
+
+std::optional<incarnation_id> credit_account::implementation::take(std::string_view service,
+                                                                   const usable_check &usable)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return std::nullopt;
+    }
+    agent_record *chosen = nullptr;
+    switch (m_policy) {
+    case placement_policy::credits:
+        chosen = bestWithCredit(found->second, usable);
+        break;
+    case placement_policy::random:
+        chosen = draw(found->second, usable);
+        break;
+    case placement_policy::two_choices:
+        chosen = lessLoadedOfTwo(found->second, usable);
+        break;
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    use(found->second, *chosen);
+    return chosen->agent;
+}
+
+std::uint64_t credit_account::implementation::returnUnused(incarnation_id agent)
+{
+    const auto found = m_agents.find(agent);
+    if (found == m_agents.end()) {
+        return 0;
+    }
+    auto &record = found->second;
+    const auto returned = record.unused();
+    rankOut(m_services.find(record.load.service)->second, record);
+    record.usedTotal += returned;
+    return returned;
+}
+
+credit_account::usage credit_account::implementation::usageOf(incarnation_id agent) const
+{
+    const auto found = m_agents.find(agent);
+    if (found == m_agents.end()) {
+        return {};
+    }
+    return usage{found->second.load.creditEpoch, found->second.usedTotal};
+}
+
+const service_agents *credit_account::implementation::find(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+std::uint64_t credit_account::implementation::available(std::string_view service) const
+{
+    const auto *const held = find(service);
+    if (held == nullptr) {
+        return 0;
+    }
+    if (m_policy == placement_policy::credits) {
+        return held->unused;
+    }
+    const bool any = std::ranges::any_of(
+            held->all, [](const agent_record *record) { return !record->load.leaving; });
+    return any ? unlimitedOrders : 0;
+}
+
+std::uint32_t credit_account::implementation::slots(std::string_view service,
+                                                    const usable_check &usable) const
+{
+    const auto *const held = find(service);
+    std::uint32_t sum = 0;
+    if (held != nullptr) {
+        for (const auto *record : held->all) {
+            sum += !record->load.leaving && usable(record->agent) ? record->load.slots : 0;
+        }
+    }
+    return sum;
+}
+
+std::vector<std::pair<incarnation_id, agent_load>> credit_account::implementation::agents() const
+{
+    std::vector<std::pair<incarnation_id, agent_load>> all;
+    all.reserve(m_agents.size());
+    for (const auto &[agent, record] : m_agents) {
+        all.emplace_back(agent, record.load);
+    }
+    std::ranges::sort(all, {}, &std::pair<incarnation_id, agent_load>::first);
+    return all;
+}
+
+credit_account::credit_account(placement_policy policy, std::string zone, std::uint64_t seed)
+    : m_impl{std::make_unique<implementation>(policy, std::move(zone), seed)}
+{}
+
+credit_account::~credit_account() = default;
+credit_account::credit_account(credit_account &&) noexcept = default;
+
+void credit_account::report(incarnation_id agent, const agent_load &load)
+{
+    m_impl->report(agent, load);
+}
+
+void credit_account::remove(incarnation_id agent)
+{
+    m_impl->remove(agent);
+}
+
+std::optional<incarnation_id> credit_account::take(std::string_view service,
+                                                   const usable_check &usable)
+{
+    return m_impl->take(service, usable);
+}
+
+std::uint64_t credit_account::returnUnused(incarnation_id agent)
+{
+    return m_impl->returnUnused(agent);
+}
+
+credit_account::usage credit_account::usageOf(incarnation_id agent) const
+{
+    return m_impl->usageOf(agent);
+}
+
+std::uint64_t credit_account::available(std::string_view service) const
+{
+    return m_impl->available(service);
+}
+
+std::uint32_t credit_account::slots(std::string_view service, const usable_check &usable) const
+{
+    return m_impl->slots(service, usable);
+}
+
+std::vector<std::pair<incarnation_id, agent_load>> credit_account::agents() const
+{
+    return m_impl->agents();
+}
+
+} // namespace bamboohead
