Add the target client, the processes and the command line

Cause: entry and agent need a process around their cores, and operators and callers need commands. An idle connection to a target is used again only within 1 s, because a server that closes it meanwhile leaves the outcome of the next task unknown.

--- /dev/null
+++ b/include/bamboohead/commands.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+namespace bamboohead {
+
+/// @brief Exit codes of all commands.
+enum exit_code : int {
+    exit_ok = 0,
+    exit_failed = 1,
+    exit_usage = 2,
+    exit_refused = 3,  ///< nothing ran and nothing will
+    exit_conflict = 4, ///< another operator's change came first, or a job id was used twice
+    exit_unknown = 5,  ///< the outcome is unknown
+};
+
+/// @brief Subcommands of the binary. The first argument is the name of the command.
+/// @return An exit_code.
+/// @{
+int entryCommand(int argc, char **argv);
+int agentCommand(int argc, char **argv);
+int submitCommand(int argc, char **argv);
+int manifestCommand(int argc, char **argv);
+int zoneCommand(int argc, char **argv);
+int stateCommand(int argc, char **argv);
+int loadCommand(int argc, char **argv);
+int settingsCommand(int argc, char **argv);
+/// @}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/agent_process.cpp
@@ -0,0 +1,74 @@
+#include "bamboohead/agent_core.hpp"
+#include "bamboohead/http_agent.hpp"
+#include "bamboohead/process.hpp"
+#include "process_parts.hpp"
+
+#include <boost/json.hpp>
+
+namespace bamboohead {
+
+namespace {
+
+// One target announces itself, and operators read state and metrics.
+constexpr std::uint32_t httpThreads = 16;
+
+agent_options agentOptions(const process_settings &settings)
+{
+    agent_options options;
+    options.self = makeIdentity(settings, wire::ROLE_AGENT);
+    options.seeds = settings.seeds;
+    options.seed = seedOrRandom(settings.agent.seed);
+    return options;
+}
+
+void feed(agent_core &core, process_metrics &metrics, const agent_input &next)
+{
+    std::visit(overloaded{
+                       [&](const target_announcement &in) { core.targetAnnounced(in); },
+                       [&](const task_end &in) {
+                           if (!in.notStarted) {
+                               metrics.observeTask(in.runTime);
+                           }
+                           core.taskEnded(in);
+                       },
+                       [&](const dump_input &in) {
+                           in.reply->set_value(boost::json::serialize(core.dump()));
+                       },
+               },
+               next);
+}
+
+} // namespace
+
+void runAgent(const process_settings &settings)
+{
+    ignoreBrokenPipes();
+    stop_signals signals;
+    const log_session log{settings.log};
+    const steady_clock_source clock;
+    const auto options = agentOptions(settings);
+    process_metrics metrics;
+    transport messages{settings.endpoint, clock};
+    agent_core core{options, clock};
+    input_queue<agent_input> inputs;
+    std::atomic<bool> draining{false};
+    target_client target{[&inputs](task_end end) { inputs.push(std::move(end)); }};
+    target.setAddress(settings.agent.target);
+    http_server server{settings.http, httpThreads, metrics, draining, stateSource(inputs)};
+    const http_agent routes{server, settings.agent.target, inputs, target};
+    server.start();
+    logStart(options.self, settings.http);
+    control_loop<agent_core, agent_input> loop{
+            {core, inputs, messages, metrics, signals, draining},
+            [&](agent_core &to, const agent_input &next) { feed(to, metrics, next); },
+            [&](agent_action &next) {
+                if (auto *const task = std::get_if<run_task>(&next)) {
+                    target.run(std::move(*task));
+                }
+            }};
+    loop.run();
+    server.stop();
+    logLine(log_level::info, "stopped", {});
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/entry_process.cpp
@@ -0,0 +1,83 @@
+#include "bamboohead/entry_core.hpp"
+#include "bamboohead/http_entry.hpp"
+#include "bamboohead/process.hpp"
+#include "process_parts.hpp"
+
+#include <boost/json.hpp>
+
+namespace bamboohead {
+
+namespace {
+
+entry_options entryOptions(const process_settings &settings)
+{
+    entry_options options;
+    options.self = makeIdentity(settings, wire::ROLE_ENTRY);
+    options.seeds = settings.seeds;
+    options.seed = seedOrRandom(settings.entry.seed);
+    options.policy = settings.entry.policy;
+    return options;
+}
+
+void feed(entry_core &core, entry_input next)
+{
+    std::visit(
+            overloaded{
+                    [&](const open_session_input &in) { core.openSession(in.request); },
+                    [&](submit_input &in) { core.submit(in.request, std::move(in.job), in.wait); },
+                    [&](const query_input &in) { core.query(in.request, in.id, in.wait); },
+                    [&](const cancel_input &in) { core.cancel(in.request, in.id); },
+                    [&](const caller_gone_input &in) { core.callerGone(in.request); },
+                    [&](const store_read_input &in) {
+                        core.storeRead(in.version, in.text, in.sentAt);
+                    },
+                    [&](const manifest_input &in) {
+                        core.manifestPushed(in.version, in.text);
+                        in.handled->set_value();
+                    },
+                    [&](const dump_input &in) {
+                        in.reply->set_value(boost::json::serialize(core.dump()));
+                    },
+            },
+            next);
+}
+
+void answer(caller_table &callers, entry_action &next)
+{
+    if (auto *const job = std::get_if<answer_caller>(&next)) {
+        callers.answer(job->request, std::move(job->answer));
+    } else if (auto *const session = std::get_if<session_answer>(&next)) {
+        callers.answer(session->request, *session);
+    }
+}
+
+} // namespace
+
+void runEntry(const process_settings &settings)
+{
+    ignoreBrokenPipes();
+    stop_signals signals;
+    const log_session log{settings.log};
+    const steady_clock_source clock;
+    const auto options = entryOptions(settings);
+    process_metrics metrics;
+    transport messages{settings.endpoint, clock};
+    entry_core core{options, clock};
+    input_queue<entry_input> inputs;
+    caller_table callers;
+    std::atomic<bool> draining{false};
+    http_server server{settings.http, settings.http.maxConnections, metrics, draining,
+                       stateSource(inputs)};
+    const http_entry routes{server, settings.http.maxConnections, inputs, callers, metrics};
+    server.start();
+    logStart(options.self, settings.http);
+    control_loop<entry_core, entry_input> loop{{core, inputs, messages, metrics, signals, draining},
+                                               feed,
+                                               [&](entry_action &next) { answer(callers, next); }};
+    loop.run();
+    callers.clear();
+    server.stop();
+    logLine(log_level::info, "stopped", {});
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/adapters/target_client.cpp
@@ -0,0 +1,229 @@
+#include "bamboohead/target_client.hpp"
+
+#include "bamboohead/clock.hpp"
+#include "bamboohead/detail/http/json_reader.hpp"
+
+#include <httplib.h>
+#include <tbb/concurrent_queue.h>
+
+#include <algorithm>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr duration connectLimit = std::chrono::seconds{1};
+// A server may close an idle connection while the next request is on its way, and then nothing
+// tells whether the task started. Servers commonly close after 5 s or more.
+constexpr duration reuseLimit = std::chrono::seconds{1};
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr const char *notStartedHeader = "X-Not-Started";
+
+/// Connection of one thread to the target.
+struct connection
+{
+    std::string address;
+    std::unique_ptr<httplib::Client> client;
+    time_point lastUsed;
+};
+
+bool notConnected(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+           error == httplib::Error::BindIPAddress;
+}
+
+task_end failure(const task_ref &ref, bool notStarted, std::string reason)
+{
+    task_end end;
+    end.ref = ref;
+    end.notStarted = notStarted;
+    end.failed = !notStarted;
+    end.result = std::move(reason);
+    return end;
+}
+
+task_end judge(const task_ref &ref, const httplib::Response &response, std::string body)
+{
+    if (response.status == statusUnavailable &&
+        response.get_header_value(notStartedHeader) == "1") {
+        return failure(ref, true, "the target refused the task");
+    }
+    if (response.status != statusOk) {
+        return failure(ref, false, "the target answered status " + std::to_string(response.status));
+    }
+    if (!detail::isUtf8(body)) {
+        return failure(ref, false, "the target's result is not valid UTF-8");
+    }
+    task_end end;
+    end.ref = ref;
+    end.result = std::move(body);
+    return end;
+}
+
+/// Request whose answer is bounded in size and total time.
+class run_request
+{
+public:
+    run_request(const run_task &task, time_point limit, const clock &clock)
+        : m_limit{limit}
+        , m_clock{clock}
+    {
+        m_request.method = "POST";
+        m_request.path = "/v1/run";
+        m_request.body = task.payload;
+        m_request.set_header("Content-Type", "text/plain");
+        m_request.set_header("X-Job-Id", toText(task.ref.job));
+        m_request.set_header("X-Task", std::to_string(task.ref.task));
+        m_request.content_receiver = [this](const char *data, std::size_t size, std::uint64_t,
+                                            std::uint64_t) { return accept(data, size); };
+    }
+
+    task_end send(const task_ref &ref, httplib::Client &client)
+    {
+        httplib::Response response;
+        auto error = httplib::Error::Success;
+        if (client.send(m_request, response, error)) {
+            return judge(ref, response, std::move(m_body));
+        }
+        if (m_tooLong) {
+            return failure(ref, false, "the target's result is too long");
+        }
+        return failure(ref, notConnected(error), "target: " + httplib::to_string(error));
+    }
+
+private:
+    bool accept(const char *data, std::size_t size)
+    {
+        m_tooLong = m_body.size() + size > maxResultBytes;
+        if (m_tooLong || m_clock.now() > m_limit) {
+            return false;
+        }
+        m_body.append(data, size);
+        return true;
+    }
+
+    time_point m_limit;
+    const clock &m_clock;
+    httplib::Request m_request;
+    std::string m_body;
+    bool m_tooLong = false;
+};
+
+} // namespace
+
+class target_client::implementation
+{
+public:
+    explicit implementation(end_handler handler)
+        : m_handler{std::move(handler)}
+    {}
+
+    ~implementation()
+    {
+        for (std::size_t i = 0; i < m_threads.size(); ++i) {
+            m_queue.push(std::nullopt);
+        }
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+    void setAddress(const std::string &address)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_address = address;
+    }
+
+    void reserve(std::uint32_t slots)
+    {
+        const std::lock_guard lock{m_mutex};
+        while (m_threads.size() < slots) {
+            m_threads.emplace_back([this] { serve(); });
+        }
+    }
+
+    void run(run_task task) { m_queue.push(std::move(task)); }
+
+private:
+    void serve()
+    {
+        connection held;
+        std::optional<run_task> task;
+        while (true) {
+            m_queue.pop(task);
+            if (!task) {
+                return;
+            }
+            const auto begin = m_clock.now();
+            auto end = runOne(*task, held);
+            held.lastUsed = m_clock.now();
+            end.runTime = held.lastUsed - begin;
+            m_handler(std::move(end));
+        }
+    }
+
+    task_end runOne(const run_task &task, connection &held)
+    {
+        const auto address = currentAddress();
+        if (address.empty()) {
+            return failure(task.ref, true, "the target has no address");
+        }
+        const auto now = m_clock.now();
+        if (held.client == nullptr || held.address != address || now - held.lastUsed > reuseLimit) {
+            held.client = std::make_unique<httplib::Client>("http://" + address);
+            held.address = address;
+        }
+        const auto limit = std::max(task.timeout, duration{}) + targetGrace;
+        held.client->set_keep_alive(true);
+        held.client->set_tcp_nodelay(true);
+        held.client->set_connection_timeout(std::min(limit, connectLimit));
+        held.client->set_read_timeout(limit);
+        held.client->set_write_timeout(limit);
+        return run_request{task, now + limit, m_clock}.send(task.ref, *held.client);
+    }
+
+    std::string currentAddress()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_address;
+    }
+
+    end_handler m_handler;
+    steady_clock_source m_clock;
+    std::mutex m_mutex;
+    std::string m_address;
+    tbb::concurrent_bounded_queue<std::optional<run_task>> m_queue;
+    std::vector<std::thread> m_threads;
+};
+
+target_client::target_client(end_handler handler)
+    : m_impl{std::make_unique<implementation>(std::move(handler))}
+{}
+
+target_client::~target_client() = default;
+
+void target_client::setAddress(const std::string &address)
+{
+    m_impl->setAddress(address);
+}
+
+void target_client::reserve(std::uint32_t slots)
+{
+    m_impl->reserve(slots);
+}
+
+void target_client::run(run_task task)
+{
+    m_impl->run(std::move(task));
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/commands/main.cpp
@@ -0,0 +1,54 @@
+#include "bamboohead/commands.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string_view>
+
+namespace {
+
+struct subcommand
+{
+    std::string_view name;
+    std::string_view help;
+    int (*run)(int, char **);
+};
+
+constexpr std::array subcommands{
+        subcommand{"entry", "run an entry", bamboohead::entryCommand},
+        subcommand{"agent", "run an agent", bamboohead::agentCommand},
+        subcommand{"submit", "submit a job and print its answer", bamboohead::submitCommand},
+        subcommand{"state", "print the state of a process", bamboohead::stateCommand},
+        subcommand{"settings", "print the reference of all settings", bamboohead::settingsCommand},
+};
+
+void printUsage(std::ostream &out)
+{
+    out << "usage: bamboohead COMMAND [ARGUMENTS]\n\ncommands:\n";
+    for (const auto &command : subcommands) {
+        out << "  " << command.name << "\t" << command.help << "\n";
+    }
+    out << "\nbamboohead COMMAND --help describes the arguments.\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc < 2) {
+        printUsage(std::cerr);
+        return bamboohead::exit_usage;
+    }
+    const std::string_view name{argv[1]};
+    if (name == "--help" || name == "help") {
+        printUsage(std::cout);
+        return bamboohead::exit_ok;
+    }
+    const auto *const command = std::ranges::find(subcommands, name, &subcommand::name);
+    if (command == subcommands.end()) {
+        std::cerr << "bamboohead: unknown command " << name << "\n";
+        printUsage(std::cerr);
+        return bamboohead::exit_usage;
+    }
+    return command->run(argc - 1, argv + 1);
+}
--- /dev/null
+++ b/src/commands/processes.cpp
@@ -0,0 +1,68 @@
+#include "bamboohead/commands.hpp"
+#include "bamboohead/process.hpp"
+#include "bamboohead/settings.hpp"
+#include "command_line.hpp"
+
+#include <iostream>
+
+namespace bamboohead {
+
+namespace {
+
+using process_function = void (*)(const process_settings &);
+
+int runWith(const std::string &file, bool checkOnly, process_function run)
+{
+    const auto result = loadSettings(file);
+    if (const auto *const faults = std::get_if<std::vector<config_fault>>(&result)) {
+        for (const auto &fault : *faults) {
+            std::cerr << describeFault(file, fault) << "\n";
+        }
+        return exit_usage;
+    }
+    if (checkOnly) {
+        std::cout << file << ": valid\n";
+        return exit_ok;
+    }
+    run(std::get<process_settings>(result));
+    return exit_ok;
+}
+
+int processCommand(int argc, char **argv, const std::string &help, process_function run)
+{
+    return runCommand(argc, argv, help, [run](TCLAP::CmdLine &line, int count, char **values) {
+        TCLAP::ValueArg<std::string> file{"", "settings", "Settings file.", true, "", "FILE", line};
+        TCLAP::SwitchArg check{"", "check", "Check the settings and exit.", line};
+        line.parse(count, values);
+        return runWith(file.getValue(), check.getValue(), run);
+    });
+}
+
+} // namespace
+
+int entryCommand(int argc, char **argv)
+{
+    return processCommand(argc, argv, "Runs an entry, which accepts and places jobs.", runEntry);
+}
+
+int agentCommand(int argc, char **argv)
+{
+    return processCommand(argc, argv, "Runs an agent beside a target.", runAgent);
+}
+
+int settingsCommand(int argc, char **argv)
+{
+    return runCommand(argc, argv, "Prints information about settings.",
+                      [](TCLAP::CmdLine &line, int count, char **values) {
+                          TCLAP::SwitchArg reference{
+                                  "", "reference", "Print all settings as a Markdown table.", line};
+                          line.parse(count, values);
+                          if (!reference.getValue()) {
+                              throw TCLAP::CmdLineParseException{"nothing asked for; see --help"};
+                          }
+                          std::cout << settingsReference();
+                          return static_cast<int>(exit_ok);
+                      });
+}
+
+} // namespace bamboohead
