--- a/include/bamboohead/http_server.hpp
+++ b/include/bamboohead/http_server.hpp
@@ -31,10 +31,13 @@
     /// @brief For adding routes before start().
     [[nodiscard]] httplib::Server &routes() noexcept { return m_server; }
 
-    /// @brief Binds and serves on threads of its own.
+    /// @brief Binds and serves on threads of its own; port 0 takes a free one.
     /// @throw std::runtime_error when the address cannot be bound.
     void start();
 
+    /// @brief Port that is bound.
+    [[nodiscard]] int port() const noexcept { return m_port; }
+
     /// @brief Accepts no further connections and returns after all requests are answered.
     void stop();
 
@@ -44,6 +47,7 @@
     http_settings m_settings;
     state_source m_state;
     httplib::Server m_server;
+    int m_port = 0;
     std::thread m_thread;
 };
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -61,7 +61,13 @@
 
 void http_server::start()
 {
-    if (!m_server.bind_to_port(m_settings.address, m_settings.port)) {
+    m_port = m_settings.port;
+    if (m_port == 0) {
+        m_port = m_server.bind_to_any_port(m_settings.address);
+    } else if (!m_server.bind_to_port(m_settings.address, m_port)) {
+        m_port = -1;
+    }
+    if (m_port < 0) {
         throw std::runtime_error{"cannot bind HTTP to " + m_settings.address + ":" +
                                  std::to_string(m_settings.port)};
     }
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,140 @@
+#include "bamboohead/transport.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <zmq.hpp>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr const char *anyPort = "tcp://127.0.0.1:*";
+constexpr duration pollInterval = std::chrono::milliseconds{10};
+constexpr int maxPolls = 500;
+
+wire::Envelope envelopeWith(std::uint64_t stamp)
+{
+    wire::Envelope envelope;
+    envelope.set_stamp_us(stamp);
+    return envelope;
+}
+
+/// Waits for one message at `receiver` while `sender` flushes.
+std::optional<std::uint64_t> receiveStamp(transport &receiver, transport &sender)
+{
+    std::optional<std::uint64_t> stamp;
+    for (int i = 0; i < maxPolls && !stamp; ++i) {
+        sender.maintain();
+        receiver.wait(pollInterval, -1, -1);
+        receiver.receiveAll([&](const wire::Envelope &envelope) { stamp = envelope.stamp_us(); },
+                            1);
+    }
+    return stamp;
+}
+
+template <typename Condition>
+bool pollUntil(transport &messages, Condition condition)
+{
+    for (int i = 0; i < maxPolls && !condition(); ++i) {
+        messages.wait(pollInterval, -1, -1);
+        messages.receiveAll([](const wire::Envelope &) {}, 10);
+        messages.maintain();
+    }
+    return condition();
+}
+
+} // namespace
+
+// Guards against first messages that are lost while the connection comes up, which would delay
+// discovery until the next hello.
+TEST_CASE("messages arrive in both directions, the first one included")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    transport b{anyPort, clock};
+    a.send(b.endpoint(), envelopeWith(1));
+    CHECK(receiveStamp(b, a) == 1);
+    b.send(a.endpoint(), envelopeWith(2));
+    CHECK(receiveStamp(a, b) == 2);
+    CHECK(a.counters().sent == 1);
+    CHECK(a.counters().received == 1);
+    CHECK(a.counters().dropped == 0);
+}
+
+// Guards against a dead peer that blocks its sender or collects messages without bound.
+TEST_CASE("messages to a peer that went away are dropped and counted, and a new peer is reached")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    auto b = std::make_unique<transport>(anyPort, clock);
+    const auto endpoint = b->endpoint();
+    a.send(endpoint, envelopeWith(1));
+    REQUIRE(receiveStamp(*b, a) == 1);
+    b.reset();
+    std::uint64_t sends = 0;
+    const bool dropped = pollUntil(a, [&] {
+        a.send(endpoint, envelopeWith(2));
+        ++sends;
+        return a.counters().dropped > 0;
+    });
+    CHECK(dropped);
+    CHECK(a.counters().sent + a.counters().dropped == sends + 1);
+    transport successor{endpoint, clock};
+    std::optional<std::uint64_t> stamp;
+    for (int i = 0; i < maxPolls && !stamp; ++i) {
+        a.send(endpoint, envelopeWith(3));
+        successor.wait(pollInterval, -1, -1);
+        successor.receiveAll([&](const wire::Envelope &in) { stamp = in.stamp_us(); }, 1);
+    }
+    CHECK(stamp == 3);
+}
+
+// Guards against messages that are kept for ever for a peer that never answers.
+TEST_CASE("messages to an unreachable peer are dropped after a grace and the peer is closed")
+{
+    manual_clock clock;
+    transport a{anyPort, clock};
+    a.send("tcp://127.0.0.1:1", envelopeWith(1));
+    CHECK(a.counters().dropped == 0);
+    CHECK(a.peers() == 1);
+    clock.advance(connectGrace);
+    a.maintain();
+    CHECK(a.counters().dropped == 1);
+    clock.advance(peerIdleLimit);
+    a.maintain();
+    CHECK(a.peers() == 0);
+    a.send("not an endpoint", envelopeWith(1));
+    CHECK(a.counters().dropped == 2);
+}
+
+// Guards against crashes and wrong decisions by bytes that are no envelope.
+TEST_CASE("malformed messages are dropped and counted")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    zmq::context_t context;
+    zmq::socket_t socket{context, zmq::socket_type::dealer};
+    socket.set(zmq::sockopt::linger, 0);
+    socket.connect(a.endpoint());
+    socket.send(zmq::str_buffer("\xff\xff\xff"), zmq::send_flags::none);
+    socket.send(zmq::str_buffer(""), zmq::send_flags::sndmore);
+    socket.send(zmq::str_buffer(""), zmq::send_flags::none);
+    CHECK(pollUntil(a, [&] { return a.counters().malformed == 2; }));
+    CHECK(a.counters().received == 0);
+}
+
+// Guards against a message that no receiver would accept and that would cost its connection.
+TEST_CASE("a message beyond the size limit is not sent")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    auto envelope = envelopeWith(1);
+    envelope.set_endpoint(std::string(maxMessageBytes, 'x'));
+    a.send(a.endpoint(), envelope);
+    CHECK(a.counters().dropped == 1);
+    CHECK(a.peers() == 0);
+}
+
+} // namespace bamboohead
