--- /dev/null
+++ b/src/agent/agent_outbox.cpp
@@ -0,0 +1,264 @@
+#include "bamboohead/detail/agent/agent_implementation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboohead {
+
+using detail::order_record;
+using detail::order_state;
+
+namespace {
+
+wire::TaskState toWire(order_state state)
+{
+    switch (state) {
+    case order_state::queued:
+        return wire::TASK_STATE_ACCEPTED;
+    case order_state::running:
+        return wire::TASK_STATE_RUNNING;
+    case order_state::finished:
+        return wire::TASK_STATE_FINISHED;
+    case order_state::failed:
+        return wire::TASK_STATE_FAILED;
+    case order_state::refused:
+        return wire::TASK_STATE_REFUSED;
+    }
+    return wire::TASK_STATE_UNSPECIFIED;
+}
+
+} // namespace
+
+wire::TaskUpdate toUpdate(const order_record &order)
+{
+    wire::TaskUpdate update;
+    toWire(order.ref, *update.mutable_ref());
+    update.set_state(toWire(order.state));
+    update.set_error(toWire(order.error));
+    update.set_result(order.result);
+    update.set_run_time_us(static_cast<std::uint64_t>(order.runTime.count()));
+    return update;
+}
+
+void agent_core::implementation::send(incarnation_id receiver, wire::Envelope envelope)
+{
+    const auto *entry = m_links.find(receiver);
+    if (entry == nullptr) {
+        return;
+    }
+    m_links.seal(envelope, receiver);
+    m_outboxes[receiver].lastSent = m_clock.now();
+    ++m_counters.messagesSent;
+    m_actions.emplace_back(send_message{entry->endpoint, std::move(envelope)});
+}
+
+void agent_core::implementation::sendHello(const std::string &endpoint, incarnation_id receiver)
+{
+    wire::Envelope envelope;
+    envelope.mutable_hello();
+    m_links.seal(envelope, receiver);
+    ++m_counters.messagesSent;
+    m_actions.emplace_back(send_message{endpoint, std::move(envelope)});
+}
+
+void agent_core::implementation::greetSeeds()
+{
+    const auto now = m_clock.now();
+    for (const auto entry : m_entries.takeProbes()) {
+        sendHello(m_links.find(entry)->endpoint, entry);
+    }
+    const auto interval =
+            m_entries.anyAlive(linkSilenceLimit) ? detail::helloInterval : lonelyHelloInterval;
+    if (m_seedsGreeted && now - *m_seedsGreeted < interval) {
+        return;
+    }
+    m_seedsGreeted = now;
+    for (const auto &endpoint : m_options.seeds) {
+        sendHello(endpoint, incarnation_id::none);
+    }
+}
+
+void agent_core::implementation::addUpdate(incarnation_id receiver, wire::TaskUpdate update,
+                                           time_point due)
+{
+    // The end of an order is reported again when its entry comes back.
+    if (m_links.find(receiver) == nullptr) {
+        return;
+    }
+    auto &box = m_outboxes[receiver];
+    box.updateBytes += update.result().size();
+    box.updatesDue = std::min(box.updatesDue.value_or(due), due);
+    *box.updates.add_updates() = std::move(update);
+    if (box.updates.updates_size() >= maxBatchUpdates || box.updateBytes >= maxBatchBytes) {
+        sendUpdates(receiver, box);
+    }
+}
+
+void agent_core::implementation::report(const order_record &order)
+{
+    addUpdate(order.destination, toUpdate(order), m_clock.now());
+}
+
+void agent_core::implementation::resendReports()
+{
+    for (const auto *order : m_tasks.dueReports(m_clock.now())) {
+        // A silent destination is not worth messages; the report waits until it is heard again.
+        if (m_links.alive(order->destination, linkSilenceLimit)) {
+            report(*order);
+        }
+    }
+}
+
+void agent_core::implementation::scheduleHeartbeats()
+{
+    const auto now = m_clock.now();
+    auto receivers = m_entries.chosen();
+    // An entry that is no longer chosen must not take this agent for dead while it runs its tasks.
+    m_tasks.forEachActive(
+            [&receivers](const order_record &order) { receivers.insert(order.destination); });
+    for (const auto entry : receivers) {
+        if (m_links.find(entry) == nullptr) {
+            continue;
+        }
+        auto &box = m_outboxes[entry];
+        const bool silent = now - box.lastSent >= heartbeatInterval;
+        const bool outdated = now - box.lastHeartbeat >= fullHeartbeatInterval;
+        box.heartbeatDue = box.heartbeatDue || silent || outdated;
+    }
+}
+
+void agent_core::implementation::announceState()
+{
+    for (const auto entry : m_entries.chosen()) {
+        m_outboxes[entry].heartbeatDue = true;
+    }
+}
+
+void agent_core::implementation::flush()
+{
+    const auto now = m_clock.now();
+    for (auto &[entry, box] : m_outboxes) {
+        const auto &line = m_credits.line(entry);
+        const bool creditsDue = line.changed && (line.demand.waiting > 0 || line.recall);
+        const bool updatesDue = box.updatesDue && *box.updatesDue <= now;
+        const bool recallDue = line.changed && line.recall;
+        const bool withUpdates = box.updates.updates_size() > 0;
+        if (withUpdates && (updatesDue || creditsDue || box.heartbeatDue)) {
+            sendUpdates(entry, box);
+        }
+        if (box.heartbeatDue || recallDue || (creditsDue && !withUpdates)) {
+            sendHeartbeat(entry, box);
+        }
+    }
+}
+
+void agent_core::implementation::sendUpdates(incarnation_id receiver, outbox &box)
+{
+    auto &line = m_credits.line(receiver);
+    wire::Envelope envelope;
+    auto &updates = *envelope.mutable_task_updates();
+    updates.Swap(&box.updates);
+    updates.set_credit_epoch(line.epoch);
+    updates.set_issued_total(line.issuedTotal);
+    updates.set_running(static_cast<std::uint32_t>(m_tasks.running()));
+    updates.set_queued(static_cast<std::uint32_t>(m_tasks.queued()));
+    box.updates.Clear();
+    box.updateBytes = 0;
+    box.updatesDue.reset();
+    // A recall is told by heartbeats only.
+    line.changed = line.recall && line.changed;
+    send(receiver, std::move(envelope));
+}
+
+void agent_core::implementation::sendHeartbeat(incarnation_id receiver, outbox &box)
+{
+    auto &line = m_credits.line(receiver);
+    wire::Envelope envelope;
+    auto &heartbeat = *envelope.mutable_agent_heartbeat();
+    heartbeat.set_service(m_target ? m_target->service : "");
+    heartbeat.set_slots(static_cast<std::uint32_t>(effectiveSlots()));
+    heartbeat.set_running(static_cast<std::uint32_t>(m_tasks.running()));
+    heartbeat.set_queued(static_cast<std::uint32_t>(m_tasks.queued()));
+    heartbeat.set_leaving(leaving());
+    heartbeat.set_config_version(static_cast<std::uint64_t>(m_config.version()));
+    heartbeat.set_credit_epoch(line.epoch);
+    heartbeat.set_issued_total(line.issuedTotal);
+    heartbeat.set_recall(line.recall);
+    line.changed = false;
+    box.heartbeatDue = false;
+    box.lastHeartbeat = m_clock.now();
+    send(receiver, std::move(envelope));
+}
+
+void agent_core::implementation::pullConfig(incarnation_id entry)
+{
+    const auto now = m_clock.now();
+    if (m_pulled && now - *m_pulled < pullInterval) {
+        return;
+    }
+    m_pulled = now;
+    wire::Envelope envelope;
+    envelope.mutable_config_pull()->set_held_version(
+            static_cast<std::uint64_t>(m_config.version()));
+    send(entry, std::move(envelope));
+}
+
+void agent_core::implementation::log(std::string_view name, log_fields fields)
+{
+    m_actions.emplace_back(log_event{std::string{name}, {fields.begin(), fields.end()}});
+}
+
+void agent_core::implementation::logTask(std::string_view name, const task_ref &ref,
+                                         log_fields fields)
+{
+    log_event event{std::string{name}, {{"job", toText(ref.job)}}};
+    event.fields.emplace_back("task", std::to_string(ref.task));
+    event.fields.emplace_back("attempt", std::to_string(ref.attempt));
+    event.fields.insert(event.fields.end(), fields.begin(), fields.end());
+    m_actions.emplace_back(std::move(event));
+}
+
+boost::json::value agent_core::implementation::dump() const
+{
+    boost::json::object state;
+    state["incarnation"] = toText(m_options.self.incarnation);
+    state["zone"] = m_options.self.zone;
+    state["zone_in"] = m_config.ownZoneIn();
+    state["config_version"] = static_cast<std::uint64_t>(m_config.version());
+    state["current"] = m_config.agentCurrent();
+    state["stopping"] = m_stopping.has_value();
+    state["leaving"] = leaving();
+    state["service"] = m_target ? m_target->service : "";
+    state["slots"] = effectiveSlots();
+    state["running"] = m_tasks.running();
+    state["queued"] = m_tasks.queued();
+    state["orders_held"] = m_tasks.size();
+    state["content_bytes"] = m_tasks.contentBytes();
+    state["credits_outstanding"] = m_credits.outstanding();
+    state["credit_limit"] = m_credits.limit();
+    state["entries"] = dumpEntries();
+    boost::json::array fences;
+    for (const auto &home : m_tasks.fences()) {
+        fences.emplace_back(toText(home.primary) + "." + toText(home.backup));
+    }
+    state["fences"] = std::move(fences);
+    return state;
+}
+
+boost::json::array agent_core::implementation::dumpEntries() const
+{
+    boost::json::array entries;
+    for (const auto *entry : m_links.peers(wire::ROLE_ENTRY)) {
+        boost::json::object item;
+        item["incarnation"] = toText(entry->incarnation);
+        item["endpoint"] = entry->endpoint;
+        item["zone"] = entry->zone;
+        item["chosen"] = m_entries.chosen(entry->incarnation);
+        item["alive"] = m_links.alive(entry->incarnation, linkSilenceLimit);
+        item["credits_open"] = m_credits.isOpen(entry->incarnation);
+        entries.emplace_back(std::move(item));
+    }
+    return entries;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/agent/entry_set.cpp
@@ -0,0 +1,100 @@
+#include "bamboohead/detail/agent/entry_set.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace bamboohead::detail {
+
+std::uint64_t rendezvousWeight(incarnation_id agent, incarnation_id entry) noexcept
+{
+    const std::array words{static_cast<std::uint64_t>(agent), static_cast<std::uint64_t>(entry)};
+    return XXH3_64bits(words.data(), sizeof(words));
+}
+
+entry_set::entry_set(link_table &links, const clock &clock)
+    : m_links{links}
+    , m_clock{clock}
+{}
+
+void entry_set::listed(const wire::Member &member)
+{
+    const incarnation_id entry{member.incarnation()};
+    if (entry == incarnation_id::none || entry == m_links.self().incarnation) {
+        return;
+    }
+    m_links.add(entry, member.endpoint(), wire::ROLE_ENTRY, member.zone());
+    m_listings[entry].heard = m_clock.now();
+}
+
+std::vector<incarnation_id> entry_set::refresh()
+{
+    std::vector<incarnation_id> dropped;
+    for (const auto *entry : m_links.peers(wire::ROLE_ENTRY)) {
+        if (!responsive(*entry) && !recentlyListed(entry->incarnation)) {
+            dropped.push_back(entry->incarnation);
+        }
+    }
+    for (const auto entry : dropped) {
+        m_links.remove(entry);
+        m_listings.erase(entry);
+    }
+    choose();
+    return dropped;
+}
+
+std::vector<incarnation_id> entry_set::takeProbes()
+{
+    std::vector<incarnation_id> probes;
+    const auto now = m_clock.now();
+    for (auto &[entry, state] : m_listings) {
+        const auto *known = m_links.find(entry);
+        if (known == nullptr || responsive(*known) || now - state.probed < helloInterval) {
+            continue;
+        }
+        state.probed = now;
+        probes.push_back(entry);
+    }
+    return probes;
+}
+
+bool entry_set::anyAlive(duration limit) const
+{
+    return std::ranges::any_of(m_links.peers(wire::ROLE_ENTRY), [&](const link *entry) {
+        return m_links.alive(entry->incarnation, limit);
+    });
+}
+
+bool entry_set::responsive(const link &entry) const
+{
+    // A new entry is given time to echo a stamp.
+    return m_links.alive(entry.incarnation, entrySilenceLimit) ||
+           m_clock.now() - entry.added <= entrySilenceLimit;
+}
+
+bool entry_set::recentlyListed(incarnation_id entry) const
+{
+    const auto found = m_listings.find(entry);
+    return found != m_listings.end() && m_clock.now() - found->second.heard <= 2 * helloInterval;
+}
+
+void entry_set::choose()
+{
+    std::vector<std::pair<std::uint64_t, incarnation_id>> weighted;
+    for (const auto *entry : m_links.peers(wire::ROLE_ENTRY)) {
+        if (responsive(*entry)) {
+            const auto weight = rendezvousWeight(m_links.self().incarnation, entry->incarnation);
+            weighted.emplace_back(weight, entry->incarnation);
+        }
+    }
+    std::ranges::sort(weighted, std::greater<>{});
+    weighted.resize(std::min(weighted.size(), maxChosenEntries));
+    m_chosen.clear();
+    for (const auto &[weight, entry] : weighted) {
+        m_chosen.insert(entry);
+    }
+}
+
+} // namespace bamboohead::detail
