--- a/include/bamboohead/detail/agent/credit_ledger.hpp
+++ b/include/bamboohead/detail/agent/credit_ledger.hpp
@@ -24,8 +24,9 @@
     std::uint64_t issuedTotal = 0;
     std::uint64_t usedTotal = 0;
     entry_demand demand;
-    bool recall = false;  ///< the entry is asked to return what it does not need
-    bool changed = false; ///< the entry has not been told the present values
+    bool recall = false;       ///< the entry is asked to return what it does not need
+    bool recallUrgent = false; ///< the recall was not told yet, and another entry waits for it
+    bool changed = false;      ///< the entry has not been told the present totals
 
     [[nodiscard]] std::uint64_t outstanding() const { return issuedTotal - usedTotal; }
 };
--- a/src/agent/agent_outbox.cpp
+++ b/src/agent/agent_outbox.cpp
@@ -139,14 +139,13 @@
     const auto now = m_clock.now();
     for (auto &[entry, box] : m_outboxes) {
         const auto &line = m_credits.line(entry);
-        const bool creditsDue = line.changed && (line.demand.waiting > 0 || line.recall);
+        const bool creditsDue = line.changed && line.demand.waiting > 0;
         const bool updatesDue = box.updatesDue && *box.updatesDue <= now;
-        const bool recallDue = line.changed && line.recall;
         const bool withUpdates = box.updates.updates_size() > 0;
         if (withUpdates && (updatesDue || creditsDue || box.heartbeatDue)) {
             sendUpdates(entry, box);
         }
-        if (box.heartbeatDue || recallDue || (creditsDue && !withUpdates)) {
+        if (box.heartbeatDue || line.recallUrgent || (creditsDue && !withUpdates)) {
             sendHeartbeat(entry, box);
         }
     }
@@ -165,8 +164,7 @@
     box.updates.Clear();
     box.updateBytes = 0;
     box.updatesDue.reset();
-    // A recall is told by heartbeats only.
-    line.changed = line.recall && line.changed;
+    line.changed = false;
     send(receiver, std::move(envelope));
 }
 
@@ -185,6 +183,7 @@
     heartbeat.set_issued_total(line.issuedTotal);
     heartbeat.set_recall(line.recall);
     line.changed = false;
+    line.recallUrgent = false;
     box.heartbeatDue = false;
     box.lastHeartbeat = m_clock.now();
     send(receiver, std::move(envelope));
--- a/src/agent/credit_ledger.cpp
+++ b/src/agent/credit_ledger.cpp
@@ -103,6 +103,7 @@
     line.issuedTotal = 0;
     line.usedTotal = 0;
     line.recall = false;
+    line.recallUrgent = false;
     line.changed = true;
 }
 
@@ -145,11 +146,15 @@
 void credit_ledger::markRecalls()
 {
     const bool othersWait = oldestUnmet() != nullptr;
+    const auto *fewest = fewestCredits();
     for (auto &[entry, account] : m_accounts) {
         auto &line = account.line;
-        const bool idle = line.outstanding() > line.demand.waiting && line.demand.waiting == 0;
-        const bool recall = othersWait && idle;
-        line.changed = line.changed || (recall && !line.recall);
+        const bool idle = line.demand.waiting == 0 && line.outstanding() > 0;
+        // Credits spread evenly differ by one at most.
+        const bool uneven =
+                fewest != nullptr && line.outstanding() > fewest->line.outstanding() + 1;
+        const bool recall = idle && (othersWait || uneven);
+        line.recallUrgent = recall && othersWait && (!line.recall || line.recallUrgent);
         line.recall = recall;
     }
 }
