--- a/src/policy/ready_queue.cpp
+++ b/src/policy/ready_queue.cpp
@@ -41,6 +41,7 @@
 {
     ready_job job;
     team_line *line = nullptr;
+    std::uint64_t arrival = 0; ///< number of the addition, for jobs of equal rank
     time_point rank;
     safe_hook rankHook;
     safe_hook ageHook;
@@ -50,8 +51,7 @@
 {
     bool operator()(const job_entry &left, const job_entry &right) const
     {
-        return std::tie(left.rank, left.job.submitted, left.job.id) <
-               std::tie(right.rank, right.job.submitted, right.job.id);
+        return std::tie(left.rank, left.arrival) < std::tie(right.rank, right.arrival);
     }
 };
 
@@ -59,8 +59,8 @@
 {
     bool operator()(const job_entry &left, const job_entry &right) const
     {
-        return std::tie(left.job.submitted, left.job.id) <
-               std::tie(right.job.submitted, right.job.id);
+        return std::tie(left.job.submitted, left.arrival) <
+               std::tie(right.job.submitted, right.arrival);
     }
 };
 
@@ -149,6 +149,7 @@
     std::map<std::string, std::uint32_t, std::less<>> m_weights;
     std::unordered_map<job_id, job_entry> m_jobs; ///< outlives the sets that link its entries
     std::map<std::string, service_line, std::less<>> m_services;
+    std::uint64_t m_arrivals = 0;
 };
 
 void ready_queue::implementation::configure(const manifest &manifest)
@@ -244,6 +245,7 @@
     auto &entry = m_jobs[job.id];
     entry.job = job;
     entry.line = &lineOf(job);
+    entry.arrival = ++m_arrivals;
     link(entry);
 }
 
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,158 @@
+#include "bamboohead/placement.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace bamboohead;
+
+namespace {
+
+constexpr auto anyAgent = [](incarnation_id) { return true; };
+
+incarnation_id agent(std::uint64_t number)
+{
+    return incarnation_id{number};
+}
+
+agent_load load(std::uint32_t slots, std::uint32_t running, std::uint64_t issued,
+                const std::string &zone = "graz")
+{
+    return agent_load{"quotes", zone, slots, running, 0, false, 1, issued};
+}
+
+credit_account creditAccount()
+{
+    return credit_account{placement_policy::credits, "graz", 1};
+}
+
+} // namespace
+
+TEST_CASE("the agent with the most free slots gets the order, then the own zone")
+{
+    // Guards against queues at one agent while another one has free slots.
+    auto account = creditAccount();
+    account.report(agent(1), load(8, 6, 4));
+    account.report(agent(2), load(8, 4, 4, "linz"));
+    account.report(agent(3), load(8, 5, 4));
+    CHECK(account.take("quotes", anyAgent) == agent(2));
+    // Agents 2 and 3 now have three free slots each.
+    CHECK(account.take("quotes", anyAgent) == agent(3));
+    CHECK(account.take("quotes", anyAgent) == agent(2));
+}
+
+TEST_CASE("an agent without an unused credit, a leaving or an unusable one is not chosen")
+{
+    // Guards against orders that are certain to be refused.
+    auto account = creditAccount();
+    auto leaving = load(8, 0, 4);
+    leaving.leaving = true;
+    account.report(agent(1), leaving);
+    account.report(agent(2), load(8, 0, 1));
+    account.report(agent(3), load(8, 1, 1));
+    const auto notThree = [](incarnation_id id) { return id != agent(3); };
+    CHECK(account.available("quotes") == 2);
+    CHECK(account.slots("quotes", notThree) == 8);
+    CHECK(account.take("quotes", notThree) == agent(2));
+    CHECK_FALSE(account.take("quotes", notThree));
+    CHECK_FALSE(account.take("prices", anyAgent));
+}
+
+TEST_CASE("counters follow the agent's epoch and old reports change nothing")
+{
+    // Guards against credits that are used twice after a lost or late report.
+    auto account = creditAccount();
+    account.report(agent(1), load(8, 0, 4));
+    CHECK(account.take("quotes", anyAgent));
+    account.report(agent(1), load(8, 0, 3));
+    CHECK(account.available("quotes") == 3);
+    CHECK(account.returnUnused(agent(1)) == 3);
+    CHECK(account.usageOf(agent(1)).usedTotal == 4);
+    auto renewed = load(8, 0, 2);
+    renewed.creditEpoch = 2;
+    account.report(agent(1), renewed);
+    account.report(agent(1), load(8, 0, 9));
+    CHECK(account.usageOf(agent(1)).epoch == 2);
+    CHECK(account.usageOf(agent(1)).usedTotal == 0);
+    CHECK(account.available("quotes") == 2);
+    account.remove(agent(1));
+    CHECK(account.available("quotes") == 0);
+    CHECK(account.agents().empty());
+}
+
+TEST_CASE("the baselines choose without credits and never a leaving agent")
+{
+    // Guards against baselines that are limited by credits, which would make them equal.
+    for (const auto policy : {placement_policy::random, placement_policy::two_choices}) {
+        CAPTURE(toText(policy));
+        CHECK(parsePlacementPolicy(toText(policy)) == policy);
+        credit_account account{policy, "graz", 1};
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            auto state = load(8, 0, 0);
+            state.leaving = number == 4;
+            account.report(agent(number), state);
+        }
+        std::map<incarnation_id, int> orders;
+        for (int order = 0; order < 300; ++order) {
+            ++orders[account.take("quotes", anyAgent).value()];
+        }
+        CHECK(orders.size() == 3);
+        CHECK_FALSE(orders.contains(agent(4)));
+        CHECK(account.usageOf(agent(1)).usedTotal == static_cast<std::uint64_t>(orders[agent(1)]));
+    }
+}
+
+TEST_CASE("two choices never prefers the more loaded agent of two")
+{
+    // Guards against a baseline that is random in fact.
+    credit_account account{placement_policy::two_choices, "graz", 1};
+    account.report(agent(1), load(8, 0, 0));
+    account.report(agent(2), load(8, 8, 0));
+    int busy = 0;
+    for (int order = 0; order < 8; ++order) {
+        busy += account.take("quotes", anyAgent) == agent(2) ? 1 : 0;
+    }
+    // Agent 2 is chosen only when both draws hit it.
+    CHECK(busy <= 5);
+}
+
+TEST_CASE("choices and totals agree with a plain search over many reports and orders")
+{
+    // Guards against an index that differs from the agents' counters.
+    std::mt19937 random{7};
+    const auto below = [&](std::uint32_t limit) {
+        return static_cast<std::uint32_t>(random() % limit);
+    };
+    auto account = creditAccount();
+    std::map<incarnation_id, agent_load> held;
+    std::map<incarnation_id, std::uint32_t> used;
+    const auto unused = [&](incarnation_id id) {
+        return held[id].leaving ? 0 : held[id].issuedTotal - used[id];
+    };
+    const auto freeSlots = [&](incarnation_id id) {
+        return std::int64_t{held[id].slots} - held[id].running;
+    };
+    for (int step = 0; step < 5000; ++step) {
+        const auto id = agent(1 + below(20));
+        if (below(3) == 0) {
+            auto state = load(8, below(8), held[id].issuedTotal + below(3));
+            state.leaving = below(5) == 0;
+            held[id] = state;
+            account.report(id, state);
+        } else if (const auto chosen = account.take("quotes", anyAgent)) {
+            REQUIRE(unused(*chosen) > 0);
+            for (const auto &[other, state] : held) {
+                REQUIRE((unused(other) == 0 || freeSlots(other) <= freeSlots(*chosen)));
+            }
+            ++used[*chosen];
+            ++held[*chosen].running;
+        }
+        std::uint64_t sum = 0;
+        for (const auto &[other, state] : held) {
+            sum += unused(other);
+        }
+        REQUIRE(account.available("quotes") == sum);
+    }
+}
--- /dev/null
+++ b/tests/ready_queue_test.cpp
@@ -0,0 +1,183 @@
+#include "bamboohead/ready_queue.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <map>
+#include <random>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{100s};
+
+job_id id(std::uint64_t number)
+{
+    return job_id{session_id{job_home{incarnation_id{1}, incarnation_id{2}}, 1}, number};
+}
+
+ready_job job(std::uint64_t number, std::uint32_t tasks, const std::string &team = "desk",
+              duration after = 0s)
+{
+    return ready_job{id(number), team, "quotes", tasks, start + after, start + 60s};
+}
+
+std::map<std::uint64_t, int> popped(ready_queue &queue, int tasks)
+{
+    std::map<std::uint64_t, int> counts;
+    for (int task = 0; task < tasks; ++task) {
+        ++counts[queue.pop("quotes", start).value().number];
+    }
+    return counts;
+}
+
+manifest weights(std::uint32_t desk, std::uint32_t booking)
+{
+    manifest config;
+    config.teams["desk"].weight = desk;
+    config.teams["booking"].weight = booking;
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("teams share starts by weight whatever the sizes of their jobs")
+{
+    // Guards against a team that takes over a service with many small jobs.
+    ready_queue queue;
+    queue.configure(weights(3, 1));
+    queue.add(job(1, 1000, "desk"));
+    for (std::uint64_t number = 2; number < 500; ++number) {
+        queue.add(job(number, 1, "booking"));
+    }
+    CHECK(popped(queue, 400)[1] == 300);
+    queue.configure(weights(1, 1));
+    CHECK(popped(queue, 200)[1] == 100);
+}
+
+TEST_CASE("a team that was idle gets its share and nothing for the past")
+{
+    // Guards against a returning team that blocks the others until it has caught up.
+    ready_queue queue;
+    queue.configure(weights(1, 1));
+    queue.add(job(1, 1000, "desk"));
+    CHECK(popped(queue, 500)[1] == 500);
+    queue.add(job(2, 1000, "booking"));
+    auto counts = popped(queue, 100);
+    CHECK(std::abs(counts[1] - counts[2]) <= 2);
+}
+
+TEST_CASE("in a team the job with the least remaining work starts first")
+{
+    // Guards against jobs that progress side by side so that all of them end late.
+    ready_queue queue;
+    queue.add(job(1, 100));
+    queue.add(job(2, 10));
+    queue.add(job(3, 11));
+    CHECK(popped(queue, 10)[2] == 10);
+    CHECK(popped(queue, 6)[3] == 6);
+    queue.add(job(4, 7));
+    CHECK(popped(queue, 5)[3] == 5);
+    CHECK(popped(queue, 7)[4] == 7);
+    CHECK(popped(queue, 100)[1] == 100);
+    CHECK(queue.empty());
+}
+
+TEST_CASE("no job of the team submitted two seconds later overtakes a job")
+{
+    // Guards against a large job that starves behind a stream of small ones.
+    ready_queue queue;
+    queue.add(job(1, 1200));
+    queue.add(job(2, 1, "desk", 1s));
+    queue.add(job(3, 1, "desk", 2s));
+    queue.add(job(4, 1, "desk", 3s));
+    CHECK(queue.pop("quotes", start)->number == 2);
+    CHECK(popped(queue, 1200)[1] == 1200);
+    CHECK(queue.pop("quotes", start)->number == 3);
+}
+
+TEST_CASE("a returned task waits again and its team is not charged for it")
+{
+    // Guards against a lost task and against teams that pay for refused orders.
+    ready_queue queue;
+    queue.configure(weights(1, 1));
+    queue.add(job(1, 100, "desk"));
+    queue.add(job(2, 100, "booking"));
+    for (int round = 0; round < 50; ++round) {
+        const auto first = queue.pop("quotes", start).value();
+        queue.taskReturned(job(first.number, 100, first.number == 1 ? "desk" : "booking"));
+    }
+    CHECK(queue.waiting("quotes") == 200);
+    CHECK(popped(queue, 100)[1] == 50);
+    CHECK(popped(queue, 100)[2] == 50);
+    CHECK(queue.empty());
+    queue.taskReturned(job(1, 100, "desk"));
+    CHECK(queue.waiting("quotes") == 1);
+}
+
+TEST_CASE("the estimate starts at a usual run time and follows the observed ones")
+{
+    // Guards against estimates that are zero or keep a declared time.
+    ready_queue queue;
+    CHECK(queue.estimate("quotes") == 200ms);
+    queue.add(job(1, 10));
+    queue.add(job(2, 20));
+    for (int task = 0; task < 200; ++task) {
+        queue.observe("quotes", 800ms);
+    }
+    CHECK(queue.estimate("quotes") > 790ms);
+    CHECK(queue.estimate("quotes") <= 800ms);
+    CHECK(popped(queue, 10)[1] == 10);
+}
+
+TEST_CASE("the backlog counts what waits and the age of the oldest job")
+{
+    // Guards against agents that give credits to an entry without demand.
+    ready_queue queue;
+    queue.add(job(1, 5, "desk", 1s));
+    queue.add(job(2, 7, "booking", 0s));
+    auto backlog = queue.backlog(start + 3s);
+    REQUIRE(backlog.size() == 1);
+    CHECK(backlog.front().waitingTasks == 12);
+    CHECK(backlog.front().oldestAge == 3s);
+    queue.remove(id(2));
+    backlog = queue.backlog(start + 3s);
+    CHECK(backlog.front().waitingTasks == 5);
+    CHECK(backlog.front().oldestAge == 2s);
+    queue.remove(id(1));
+    CHECK(queue.backlog(start).empty());
+    CHECK_FALSE(queue.pop("quotes", start));
+}
+
+TEST_CASE("every task is popped exactly once in a random sequence of changes")
+{
+    // Guards against an index that loses or repeats jobs.
+    std::mt19937 random{3};
+    ready_queue queue;
+    std::map<std::uint64_t, std::uint32_t> waiting;
+    std::uint32_t sum = 0;
+    const auto teamOf = [](std::uint64_t number) { return number % 2 == 0 ? "desk" : "booking"; };
+    for (std::uint64_t step = 1; step < 5000; ++step) {
+        const auto tasks = 1 + static_cast<std::uint32_t>(random() % 20);
+        if (step % 8 == 0) {
+            queue.add(job(step, tasks, teamOf(step), step * 1ms));
+            waiting[step] = tasks;
+            sum += tasks;
+        } else if (step % 50 == 1 && !waiting.empty()) {
+            const auto removed = waiting.begin();
+            sum -= removed->second;
+            queue.remove(id(removed->first));
+            waiting.erase(removed);
+        } else if (const auto popped = queue.pop("quotes", start)) {
+            REQUIRE(waiting[popped->number] > 0);
+            --sum;
+            if (--waiting[popped->number] == 0) {
+                waiting.erase(popped->number);
+            }
+            queue.observe("quotes", std::chrono::milliseconds{random() % 1000});
+        }
+        REQUIRE(queue.waiting("quotes") == sum);
+    }
+}
