Add the entry's decision code

Change: tables of sessions, jobs, homes and agents, and one system each for requests, records, takeover, forwarding, placing, orders, membership and shutdown. Conclusion: a first whole path exists in code; tests follow.

--- /dev/null
+++ b/include/bamboohead/detail/entry/context.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "bamboohead/admission.hpp"
+#include "bamboohead/config_state.hpp"
+#include "bamboohead/detail/entry/agent_table.hpp"
+#include "bamboohead/detail/entry/home_table.hpp"
+#include "bamboohead/detail/entry/job_table.hpp"
+#include "bamboohead/detail/entry/limits.hpp"
+#include "bamboohead/detail/entry/outbox.hpp"
+#include "bamboohead/ready_queue.hpp"
+#include "bamboohead/target_health.hpp"
+
+namespace bamboohead::detail {
+
+class membership;
+class job_keeper;
+class record_keeper;
+class takeover;
+class forwarder;
+class dispatcher;
+class order_tracker;
+
+/// @brief Tables of one entry and the systems that run over them.
+struct entry_context
+{
+    entry_context(entry_options entryOptions, const clock &entryClock)
+        : options{std::move(entryOptions)}
+        , time{entryClock}
+        , links{options.self, entryClock}
+        , config{options.self.zone, entryClock}
+        , out{links, counters}
+        , credits{options.policy, options.self.zone, options.seed}
+    {}
+
+    [[nodiscard]] time_point now() const { return time.now(); }
+    [[nodiscard]] incarnation_id self() const noexcept { return options.self.incarnation; }
+    [[nodiscard]] bool alive(incarnation_id peer) const { return links.alive(peer, peerTimeout); }
+
+    entry_options options;
+    const clock &time;
+    entry_counters counters;
+    link_table links;
+    config_state config;
+    outbox out;
+    bool draining = false;
+    time_point judgeAfter; ///< after a stall of this process, peers are not held dead before this
+
+    job_table jobs;
+    home_table homes;
+    agent_table agents;
+    entry_table entries;
+
+    credit_account credits;
+    ready_queue queue;
+    admission admit;
+    target_health health;
+
+    // Systems, set by entry_core before the first input.
+    membership *members = nullptr;
+    job_keeper *keeper = nullptr;
+    record_keeper *records = nullptr;
+    takeover *takeovers = nullptr;
+    forwarder *forwards = nullptr;
+    dispatcher *dispatch = nullptr;
+    order_tracker *orders = nullptr;
+};
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/include/bamboohead/detail/entry/membership.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "bamboohead/detail/entry/context.hpp"
+
+namespace bamboohead::detail {
+
+/// @brief Discovery, heartbeats and the spreading of the configuration.
+class membership
+{
+public:
+    explicit membership(entry_context &context)
+        : m_ctx{context}
+    {}
+
+    /// @brief Greets a process that was heard for the first time, so that echoes start.
+    void firstContact(const wire::Envelope &envelope);
+    void receiveHello(const wire::Envelope &envelope);
+    void receive(const wire::MemberList &list);
+    void receive(const wire::Envelope &envelope, const wire::EntryHeartbeat &heartbeat);
+    void receive(const wire::Envelope &envelope, const wire::AgentHeartbeat &heartbeat);
+    void receive(incarnation_id sender, const wire::ConfigPull &pull);
+    void receive(const wire::ConfigPush &push);
+
+    /// @brief Takes a configuration when it is newer, and announces it at once.
+    void offer(config_version version, const std::string &text);
+
+    void sendHeartbeat(agent_record &agent);
+    /// @brief Sends a heartbeat to all entries and agents now.
+    void announce();
+    void tick();
+
+    /// @brief Entries that are alive, without this one.
+    [[nodiscard]] std::vector<const link *> liveEntries() const;
+    /// @brief Their number at the last sweep.
+    [[nodiscard]] std::uint32_t liveEntryCount() const noexcept { return m_liveEntries; }
+
+private:
+    void sendEntryHeartbeat(incarnation_id entry);
+    void addMembers(google::protobuf::RepeatedPtrField<wire::Member> &out) const;
+    void learn(const google::protobuf::RepeatedPtrField<wire::Member> &members);
+    void takeLoad(agent_record &agent, const wire::AgentHeartbeat &heartbeat);
+    void pullIfNewer(incarnation_id sender, std::uint64_t version);
+    void sendHellos();
+    void heartbeatEntries();
+    void heartbeatAgents();
+    void forgetSilentEntries();
+    void forgetSilentAgents();
+
+    entry_context &m_ctx;
+    std::optional<time_point> m_helloSent;
+    time_point m_nextSweep;
+    std::uint32_t m_liveEntries = 0;
+    time_point m_pullSent;
+    time_point m_membersSent;
+    bool m_sendMembers = true; ///< whether the heartbeats of this round carry the member list
+};
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/include/bamboohead/detail/entry/takeover.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "bamboohead/detail/entry/context.hpp"
+
+namespace bamboohead::detail {
+
+/// @brief Takes homes over from their primary: fences the agents of the scope, collects their
+///        reports and resumes the jobs (design 2.1, rules 4 and 5).
+class takeover
+{
+public:
+    explicit takeover(entry_context &context)
+        : m_ctx{context}
+    {}
+
+    void receive(incarnation_id sender, const wire::FenceReport &report);
+    void receive(incarnation_id sender, const wire::HomeStopping &stopping);
+
+    /// @brief Starts, drives and ends takeovers; forgets homes without sessions.
+    void tick();
+
+private:
+    void begin(backup_home &home, std::string_view reason);
+    void sendFences(backup_home &home);
+    void applyReport(incarnation_id agent, const wire::TaskUpdate &update);
+    void finish(backup_home &home);
+    void resume(job_record &job, bool allReported);
+    [[nodiscard]] bool forgettable(const backup_home &home) const;
+
+    entry_context &m_ctx;
+};
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/src/entry/job_keeper.cpp
@@ -0,0 +1,443 @@
+#include "bamboohead/detail/entry/job_keeper.hpp"
+
+#include "bamboohead/detail/entry/dispatcher.hpp"
+#include "bamboohead/detail/entry/forwarder.hpp"
+#include "bamboohead/detail/entry/membership.hpp"
+#include "bamboohead/detail/entry/record_keeper.hpp"
+
+namespace bamboohead::detail {
+
+namespace {
+
+job_answer pendingAnswer(const job_id &id)
+{
+    job_answer answer;
+    answer.id = id;
+    return answer;
+}
+
+job_answer notRunAnswer(const job_id &id, error_kind kind)
+{
+    auto answer = errorAnswer(id, kind);
+    answer.outcome = job_outcome::refused;
+    answer.mayHaveRun = false;
+    return answer;
+}
+
+} // namespace
+
+incarnation_id job_keeper::chooseBackup() const
+{
+    // Another zone counts more than an even spread: a lost zone must not take both entries.
+    std::optional<std::tuple<bool, std::uint64_t, incarnation_id>> best;
+    for (const auto *peer : m_ctx.members->liveEntries()) {
+        const auto state = m_ctx.entries.find(peer->incarnation);
+        const job_home home{m_ctx.self(), peer->incarnation};
+        const bool draining = state != m_ctx.entries.end() && state->second.draining;
+        if (draining || m_ctx.homes.fenced.contains(home)) {
+            continue;
+        }
+        const auto *held = m_ctx.homes.findPrimary(home);
+        const bool sameZone = peer->zone == m_ctx.options.self.zone;
+        const std::tuple candidate{sameZone, held == nullptr ? 0 : held->sessions,
+                                   peer->incarnation};
+        best = best ? std::min(*best, candidate) : candidate;
+    }
+    return best ? std::get<incarnation_id>(*best) : incarnation_id::none;
+}
+
+primary_home &job_keeper::chooseHome()
+{
+    const job_home id{m_ctx.self(), chooseBackup()};
+    const auto [position, added] = m_ctx.homes.primary.try_emplace(id);
+    auto &home = position->second;
+    if (added) {
+        home.home = id;
+        m_ctx.records->homeOpened(home);
+    }
+    return home;
+}
+
+void job_keeper::openSession(caller_request request)
+{
+    if (m_ctx.draining) {
+        m_ctx.out.push(session_answer{request, {}, {}, error_kind::stopping});
+        return;
+    }
+    auto &home = chooseHome();
+    ++home.sessions;
+    const session_id id{home.home, ++m_lastSession};
+    m_ctx.jobs.openSession(id, m_ctx.now());
+    ++m_ctx.counters.sessionsOpened;
+    m_ctx.out.push(session_answer{request, id, sessionValidity, error_kind::none});
+}
+
+bool job_keeper::sessionLives(const job_id &id)
+{
+    const auto *session = m_ctx.jobs.findSession(id.session);
+    return session != nullptr && m_ctx.now() - session->opened <= sessionValidity;
+}
+
+bool job_keeper::answerKnown(const waiter &caller, const job_id &id, const content_hash *hash)
+{
+    auto *job = m_ctx.jobs.find(id);
+    const auto *session = m_ctx.jobs.findSession(id.session);
+    std::optional<content_hash> held;
+    if (job != nullptr) {
+        held = job->submission.hash;
+    } else if (session != nullptr && session->ends.contains(id.number)) {
+        held = session->ends.at(id.number).hash;
+    } else {
+        return false;
+    }
+    // A job that was cancelled before its submission has no hash.
+    const bool compare = hash != nullptr && *held != content_hash{};
+    if (compare && *hash != *held) {
+        answer(caller, errorAnswer(id, error_kind::content_mismatch));
+    } else if (auto ended = m_ctx.jobs.heldAnswer(id)) {
+        answer(caller, *std::move(ended));
+    } else if (caller.wait || job->phase == job_phase::recording) {
+        attach(*job, caller);
+    } else {
+        answer(caller, pendingAnswer(id));
+    }
+    return true;
+}
+
+void job_keeper::answerUnknown(const waiter &caller, const job_id &id, error_kind whileSessionLives)
+{
+    auto kind = error_kind::outcome_unknown;
+    if (id.session.home.primary == m_ctx.self() && m_ctx.jobs.findSession(id.session) != nullptr) {
+        kind = sessionLives(id) ? whileSessionLives : error_kind::session_expired;
+    }
+    answer(caller, errorAnswer(id, kind));
+}
+
+void job_keeper::submit(const waiter &caller, job_submission submission)
+{
+    const auto id = submission.id;
+    if (answerKnown(caller, id, &submission.hash)) {
+        return;
+    }
+    auto *home = m_ctx.homes.findPrimary(id.session.home);
+    if (home == nullptr || !sessionLives(id)) {
+        // A backup never starts a job without a record.
+        answerUnknown(caller, id, error_kind::outcome_unknown);
+        return;
+    }
+    ++m_ctx.counters.jobsSubmitted;
+    if (const auto refusal = checkNew(submission)) {
+        refuse(caller, submission, *refusal);
+        return;
+    }
+    accept(caller, std::move(submission), *home);
+}
+
+bool job_keeper::serviceKnown(std::string_view service) const
+{
+    return std::ranges::any_of(m_ctx.agents, [service](const auto &entry) {
+        return entry.second.load.service == service;
+    });
+}
+
+std::uint32_t job_keeper::usableSlots(const std::string &service)
+{
+    // Counting slots visits all agents, so one count serves the submissions of a short time.
+    constexpr duration cacheTime = std::chrono::milliseconds{50};
+    auto &cached = m_slots[service];
+    if (m_ctx.now() >= cached.until) {
+        cached.until = m_ctx.now() + cacheTime;
+        cached.slots = m_ctx.credits.slots(service, [this](incarnation_id id) {
+            const auto agent = m_ctx.agents.find(id);
+            return agent != m_ctx.agents.end() && m_ctx.dispatch->usable(agent->second);
+        });
+    }
+    return cached.slots;
+}
+
+std::optional<error_kind> job_keeper::checkNew(const job_submission &submission)
+{
+    if (m_ctx.draining) {
+        return error_kind::stopping;
+    }
+    if (submission.payloads.empty() || submission.payloads.size() > maxTasksPerJob) {
+        return error_kind::invalid_request;
+    }
+    if (!m_ctx.config.entryCurrent()) {
+        return error_kind::not_current;
+    }
+    const auto &manifest = m_ctx.config.current();
+    const auto service = manifest.services.find(submission.service);
+    if (service == manifest.services.end()) {
+        return error_kind::unknown_service;
+    }
+    if (!manifest.teams.contains(submission.team)) {
+        return error_kind::unknown_team;
+    }
+    if (!serviceKnown(submission.service)) {
+        return error_kind::no_target;
+    }
+    if (m_ctx.jobs.unfinished() >= m_ctx.options.maxJobs) {
+        return error_kind::overloaded;
+    }
+    const bool stated = submission.deadline > duration{};
+    admission_request request;
+    request.team = submission.team;
+    request.service = submission.service;
+    request.tasks = static_cast<std::uint32_t>(submission.payloads.size());
+    request.deadline = stated ? submission.deadline : service->second.defaultDeadline;
+    request.slots = usableSlots(submission.service);
+    request.waitingTasks = m_ctx.queue.waiting(submission.service);
+    request.entries = m_ctx.members->liveEntryCount() + 1;
+    request.meanRunTime = m_ctx.queue.estimate(submission.service);
+    return m_ctx.admit.check(request, m_ctx.now());
+}
+
+void job_keeper::refuse(const waiter &caller, const job_submission &submission, error_kind kind)
+{
+    // Final: a late copy of the refused request must not start the job.
+    m_ctx.jobs.recordEnd(submission.id, job_end{submission.hash, kind, job_outcome::refused, false},
+                         m_ctx.now());
+    const auto refusal = notRunAnswer(submission.id, kind);
+    count(refusal);
+    answer(caller, refusal);
+}
+
+void job_keeper::accept(const waiter &caller, job_submission submission, primary_home &home)
+{
+    const auto &settings = m_ctx.config.current().services.find(submission.service)->second;
+    const bool stated = submission.deadline > duration{};
+    const auto now = m_ctx.now();
+    const auto deadline = now + (stated ? submission.deadline : settings.defaultDeadline);
+    auto &job = m_ctx.jobs.add(std::move(submission), home_owner::primary, now, deadline);
+    home.jobs.push_back(job);
+    job.usage = static_cast<std::uint32_t>(job.tasks.size());
+    m_ctx.admit.usageChanged(job.submission.team, job.usage);
+    attach(job, caller);
+    if (m_ctx.records->put(job, home)) {
+        m_ctx.jobs.enter(job, job_phase::recording, now);
+    } else {
+        run(job);
+    }
+}
+
+void job_keeper::query(const waiter &caller, const job_id &id)
+{
+    if (!answerKnown(caller, id, nullptr)) {
+        answerUnknown(caller, id, error_kind::unknown_job);
+    }
+}
+
+void job_keeper::cancel(const waiter &caller, const job_id &id)
+{
+    auto waiting = caller;
+    waiting.wait = true;
+    const auto *known = m_ctx.homes.findPrimary(id.session.home);
+    auto *job = m_ctx.jobs.find(id);
+    if (job == nullptr && known != nullptr && sessionLives(id) &&
+        !m_ctx.jobs.findSession(id.session)->ends.contains(id.number)) {
+        // The submission may still be on its way and must find the job ended.
+        m_ctx.jobs.recordEnd(id, job_end{{}, error_kind::cancelled, job_outcome::refused, false},
+                             m_ctx.now());
+    }
+    if (!answerKnown(waiting, id, nullptr)) {
+        answerUnknown(caller, id, error_kind::unknown_job);
+        return;
+    }
+    if (job != nullptr && job->phase != job_phase::ended && job->phase != job_phase::closing) {
+        abandon(*job, error_kind::cancelled);
+    }
+}
+
+void job_keeper::callerGone(caller_request request)
+{
+    const auto number = static_cast<std::uint64_t>(request);
+    const auto found = m_localWaiters.find(number);
+    if (found == m_localWaiters.end()) {
+        return;
+    }
+    if (auto *job = m_ctx.jobs.find(found->second)) {
+        std::erase_if(job->waiters, [number](const waiter &held) {
+            return held.entry == incarnation_id::none && held.request == number;
+        });
+    }
+    m_localWaiters.erase(found);
+}
+
+void job_keeper::attach(job_record &job, const waiter &caller)
+{
+    if (std::ranges::find(job.waiters, caller) == job.waiters.end()) {
+        job.waiters.push_back(caller);
+    }
+    if (caller.entry == incarnation_id::none) {
+        m_localWaiters[caller.request] = job.id();
+    } else if (caller.wait) {
+        // Tells the forwarding entry that it need not send the submission again.
+        answer(caller, pendingAnswer(job.id()));
+    }
+}
+
+void job_keeper::answer(const waiter &caller, job_answer answer)
+{
+    if (caller.entry == incarnation_id::none) {
+        m_localWaiters.erase(caller.request);
+        m_ctx.out.push(answer_caller{caller_request{caller.request}, std::move(answer)});
+        return;
+    }
+    wire::Envelope envelope;
+    auto &reply = *envelope.mutable_job_reply();
+    reply.set_request(caller.request);
+    toWire(answer, *reply.mutable_answer());
+    m_ctx.out.send(caller.entry, std::move(envelope));
+}
+
+void job_keeper::answerAccepted(job_record &job)
+{
+    auto waiters = std::exchange(job.waiters, {});
+    for (const auto &held : waiters) {
+        if (held.wait) {
+            job.waiters.push_back(held);
+        } else {
+            answer(held, pendingAnswer(job.id()));
+        }
+    }
+}
+
+void job_keeper::run(job_record &job)
+{
+    m_ctx.jobs.enter(job, job_phase::running, m_ctx.now());
+    answerAccepted(job);
+    m_ctx.dispatch->enqueue(job);
+}
+
+void job_keeper::releaseUsage(job_record &job)
+{
+    if (job.usage > 0) {
+        m_ctx.admit.usageChanged(job.submission.team, -static_cast<std::int64_t>(job.usage));
+        job.usage = 0;
+    }
+}
+
+void job_keeper::fail(job_record &job, error_kind kind, std::string detail)
+{
+    auto failure = errorAnswer(job.id(), kind);
+    if (!detail.empty()) {
+        failure.message += ": " + detail;
+    }
+    end(job, std::move(failure));
+}
+
+void job_keeper::complete(job_record &job)
+{
+    job_answer result;
+    result.id = job.id();
+    result.outcome = job_outcome::complete;
+    result.results.reserve(job.tasks.size());
+    for (auto &task : job.tasks) {
+        result.results.push_back(std::move(task.result));
+    }
+    end(job, std::move(result));
+}
+
+void job_keeper::abandon(job_record &job, error_kind kind)
+{
+    const bool nothingOrdered = job.owner == home_owner::primary && !job.orderSent;
+    if (!nothingOrdered) {
+        fail(job, kind);
+    } else if (!job.recordSent) {
+        end(job, notRunAnswer(job.id(), kind));
+    } else {
+        startClosing(job, kind);
+    }
+}
+
+void job_keeper::startClosing(job_record &job, error_kind kind)
+{
+    // Until the backup confirms that it will not resume the job, "not run" cannot be said.
+    m_ctx.dispatch->dequeue(job);
+    releaseUsage(job);
+    m_ctx.jobs.enter(job, job_phase::closing, m_ctx.now());
+    job.answer = notRunAnswer(job.id(), kind);
+    m_ctx.records->close(job);
+}
+
+void job_keeper::closeConfirmed(job_record &job)
+{
+    if (job.phase == job_phase::closing) {
+        auto confirmed = std::move(job.answer);
+        end(job, std::move(confirmed));
+    }
+}
+
+void job_keeper::count(const job_answer &answer)
+{
+    if (answer.outcome == job_outcome::complete) {
+        ++m_ctx.counters.jobsComplete;
+    } else if (answer.outcome == job_outcome::failed) {
+        ++m_ctx.counters.jobsFailed;
+    } else {
+        ++m_ctx.counters.jobsRefused;
+    }
+}
+
+void job_keeper::end(job_record &job, job_answer answer)
+{
+    m_ctx.dispatch->dequeue(job);
+    releaseUsage(job);
+    count(answer);
+    if (answer.outcome != job_outcome::complete) {
+        m_ctx.out.log("job_failed", {{"job", toText(job.id())},
+                                     {"outcome", std::string{toText(answer.outcome)}},
+                                     {"error", std::string{answerFor(answer.error).name}}});
+    }
+    const auto waiters = std::move(job.waiters);
+    m_ctx.jobs.end(job, std::move(answer), m_ctx.now());
+    for (const auto &held : waiters) {
+        this->answer(held, job.answer);
+    }
+    if (job.recordSent && !job.closeHook.is_linked()) {
+        m_ctx.records->close(job);
+    }
+}
+
+void job_keeper::homeFenced(const job_home &home)
+{
+    auto *held = m_ctx.homes.findPrimary(home);
+    if (held == nullptr) {
+        return;
+    }
+    m_ctx.out.log("home_fenced",
+                  {{"primary", toText(home.primary)}, {"backup", toText(home.backup)}});
+    m_ctx.homes.fenced.insert(home);
+    std::vector<std::pair<job_id, std::vector<waiter>>> dropped;
+    while (!held->jobs.empty()) {
+        auto &job = held->jobs.front();
+        m_ctx.dispatch->dequeue(job);
+        releaseUsage(job);
+        dropped.emplace_back(job.id(), std::move(job.waiters));
+        m_ctx.jobs.erase(dropped.back().first);
+    }
+    m_ctx.homes.primary.erase(home);
+    for (const auto &[id, waiters] : dropped) {
+        for (const auto &caller : waiters) {
+            m_localWaiters.erase(caller.entry == incarnation_id::none ? caller.request : 0);
+            m_ctx.forwards->query(caller, id);
+        }
+    }
+}
+
+void job_keeper::tick()
+{
+    const auto now = m_ctx.now();
+    auto &jobs = m_ctx.jobs;
+    while (!jobs.deadlines.empty() && jobs.deadlines.begin()->deadline <= now) {
+        abandon(*jobs.deadlines.begin(), error_kind::deadline_exceeded);
+    }
+    while (!jobs.closing.empty() && now - jobs.closing.front().phaseSince >= closeConfirmTimeout) {
+        auto &job = jobs.closing.front();
+        fail(job, job.answer.error);
+    }
+    jobs.expire(now);
+}
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/src/entry/membership.cpp
@@ -0,0 +1,322 @@
+#include "bamboohead/detail/entry/membership.hpp"
+
+#include "bamboohead/detail/entry/dispatcher.hpp"
+#include "bamboohead/detail/entry/order_tracker.hpp"
+#include "bamboohead/detail/entry/record_keeper.hpp"
+
+namespace bamboohead::detail {
+
+std::vector<const link *> membership::liveEntries() const
+{
+    std::vector<const link *> live;
+    for (const auto &[incarnation, state] : m_ctx.entries) {
+        if (m_ctx.alive(incarnation)) {
+            live.push_back(m_ctx.links.find(incarnation));
+        }
+    }
+    return live;
+}
+
+void membership::firstContact(const wire::Envelope &envelope)
+{
+    const incarnation_id sender{envelope.sender()};
+    if (envelope.role() == wire::ROLE_ENTRY) {
+        m_ctx.out.log("entry_known", {{"entry", toText(sender)}, {"zone", envelope.zone()}});
+        m_ctx.entries.try_emplace(sender);
+        sendEntryHeartbeat(sender);
+    } else if (envelope.role() == wire::ROLE_AGENT) {
+        agent_record unknown;
+        unknown.incarnation = sender;
+        sendHeartbeat(unknown);
+    }
+}
+
+void membership::receiveHello(const wire::Envelope &envelope)
+{
+    wire::Envelope reply;
+    addMembers(*reply.mutable_member_list()->mutable_entries());
+    m_ctx.out.send(incarnation_id{envelope.sender()}, std::move(reply));
+}
+
+void membership::receive(const wire::MemberList &list)
+{
+    learn(list.entries());
+}
+
+void membership::learn(const google::protobuf::RepeatedPtrField<wire::Member> &members)
+{
+    for (const auto &member : members) {
+        const incarnation_id incarnation{member.incarnation()};
+        if (incarnation == m_ctx.self() || m_ctx.links.find(incarnation) != nullptr) {
+            continue;
+        }
+        m_ctx.links.add(incarnation, member.endpoint(), wire::ROLE_ENTRY, member.zone());
+        m_ctx.entries.try_emplace(incarnation);
+        sendEntryHeartbeat(incarnation);
+    }
+}
+
+void membership::addMembers(google::protobuf::RepeatedPtrField<wire::Member> &out) const
+{
+    const auto add = [&out](incarnation_id incarnation, const std::string &endpoint,
+                            const std::string &zone) {
+        auto &member = *out.Add();
+        member.set_incarnation(static_cast<std::uint64_t>(incarnation));
+        member.set_endpoint(endpoint);
+        member.set_zone(zone);
+    };
+    const auto &self = m_ctx.options.self;
+    add(self.incarnation, self.endpoint, self.zone);
+    for (const auto *peer : liveEntries()) {
+        add(peer->incarnation, peer->endpoint, peer->zone);
+    }
+}
+
+void membership::pullIfNewer(incarnation_id sender, std::uint64_t version)
+{
+    if (config_version{version} <= m_ctx.config.version() ||
+        m_ctx.now() - m_pullSent < pullInterval) {
+        return;
+    }
+    m_pullSent = m_ctx.now();
+    wire::Envelope envelope;
+    envelope.mutable_config_pull()->set_held_version(
+            static_cast<std::uint64_t>(m_ctx.config.version()));
+    m_ctx.out.send(sender, std::move(envelope));
+}
+
+void membership::receive(const wire::Envelope &envelope, const wire::EntryHeartbeat &heartbeat)
+{
+    const incarnation_id sender{envelope.sender()};
+    auto &state = m_ctx.entries[sender];
+    state.version = config_version{heartbeat.config_version()};
+    state.draining = heartbeat.draining();
+    state.current = heartbeat.current();
+    learn(heartbeat.entries());
+    std::map<std::string, std::uint32_t, std::less<>> usage;
+    for (const auto &team : heartbeat.usage()) {
+        usage[team.team()] = team.running();
+    }
+    m_ctx.admit.peerUsage(sender, std::move(usage));
+    if (state.version > m_ctx.config.version()) {
+        pullIfNewer(sender, heartbeat.config_version());
+    } else if (envelope.echo_us() != 0) {
+        m_ctx.config.entryHeard(envelope.zone(), fromStamp(envelope.echo_us()));
+    }
+}
+
+void membership::takeLoad(agent_record &agent, const wire::AgentHeartbeat &heartbeat)
+{
+    agent.version = config_version{heartbeat.config_version()};
+    agent.load.service = heartbeat.service();
+    agent.load.slots = heartbeat.slots();
+    agent.load.running = heartbeat.running();
+    agent.load.queued = heartbeat.queued();
+    agent.load.leaving = heartbeat.leaving();
+    agent.load.creditEpoch = heartbeat.credit_epoch();
+    agent.load.issuedTotal = heartbeat.issued_total();
+    m_ctx.credits.report(agent.incarnation, agent.load);
+    const bool unneeded = heartbeat.recall() && !m_ctx.dispatch->hasDemand(heartbeat.service());
+    if (unneeded && m_ctx.credits.returnUnused(agent.incarnation) > 0) {
+        sendHeartbeat(agent);
+    }
+}
+
+void membership::receive(const wire::Envelope &envelope, const wire::AgentHeartbeat &heartbeat)
+{
+    const incarnation_id sender{envelope.sender()};
+    pullIfNewer(sender, heartbeat.config_version());
+    const bool ready = !heartbeat.service().empty() && m_ctx.alive(sender);
+    if (!ready) {
+        return;
+    }
+    const auto known = m_ctx.agents.find(sender);
+    if (known == m_ctx.agents.end()) {
+        std::vector<incarnation_id> replaced;
+        for (const auto &[incarnation, agent] : m_ctx.agents) {
+            if (agent.endpoint == envelope.endpoint()) {
+                replaced.push_back(incarnation);
+            }
+        }
+        for (const auto predecessor : replaced) {
+            m_ctx.orders->agentDead(predecessor, "restarted");
+        }
+        m_ctx.out.log("agent_known", {{"agent", toText(sender)}, {"zone", envelope.zone()}});
+    }
+    auto &agent = m_ctx.agents[sender];
+    if (agent.incarnation == incarnation_id::none) {
+        agent.incarnation = sender;
+        agent.endpoint = envelope.endpoint();
+        m_ctx.records->agentAdded(sender, agent.endpoint);
+    }
+    agent.load.zone = envelope.zone();
+    if (envelope.stamp_us() >= agent.reportStamp) {
+        agent.reportStamp = envelope.stamp_us();
+        takeLoad(agent, heartbeat);
+    }
+}
+
+void membership::receive(incarnation_id sender, const wire::ConfigPull &pull)
+{
+    if (config_version{pull.held_version()} >= m_ctx.config.version()) {
+        return;
+    }
+    wire::Envelope envelope;
+    auto &push = *envelope.mutable_config_push();
+    push.set_version(static_cast<std::uint64_t>(m_ctx.config.version()));
+    push.set_manifest(m_ctx.config.text());
+    m_ctx.out.send(sender, std::move(envelope));
+}
+
+void membership::receive(const wire::ConfigPush &push)
+{
+    offer(config_version{push.version()}, push.manifest());
+}
+
+void membership::offer(config_version version, const std::string &text)
+{
+    if (!m_ctx.config.offer(version, text)) {
+        return;
+    }
+    m_ctx.out.log("config_taken",
+                  {{"version", std::to_string(static_cast<std::uint64_t>(version))}});
+    m_ctx.queue.configure(m_ctx.config.current());
+    m_ctx.admit.configure(m_ctx.config.current());
+    announce();
+}
+
+void membership::announce()
+{
+    for (const auto &[incarnation, state] : m_ctx.entries) {
+        sendEntryHeartbeat(incarnation);
+    }
+    for (auto &[incarnation, agent] : m_ctx.agents) {
+        sendHeartbeat(agent);
+    }
+}
+
+void membership::sendEntryHeartbeat(incarnation_id entry)
+{
+    wire::Envelope envelope;
+    auto &heartbeat = *envelope.mutable_entry_heartbeat();
+    heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
+    heartbeat.set_current(m_ctx.config.entryCurrent());
+    heartbeat.set_draining(m_ctx.draining);
+    if (m_sendMembers) {
+        addMembers(*heartbeat.mutable_entries());
+    }
+    for (const auto &[team, running] : m_ctx.admit.usage()) {
+        auto &usage = *heartbeat.add_usage();
+        usage.set_team(team);
+        usage.set_running(running);
+    }
+    m_ctx.entries[entry].heartbeatSent = m_ctx.now();
+    m_ctx.out.send(entry, std::move(envelope));
+}
+
+void membership::sendHeartbeat(agent_record &agent)
+{
+    wire::Envelope envelope;
+    auto &heartbeat = *envelope.mutable_entry_heartbeat();
+    heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
+    heartbeat.set_current(m_ctx.config.entryCurrent());
+    heartbeat.set_draining(m_ctx.draining);
+    const auto usage = m_ctx.credits.usageOf(agent.incarnation);
+    heartbeat.set_credit_epoch(usage.epoch);
+    heartbeat.set_used_total(usage.usedTotal);
+    m_ctx.dispatch->fillDemand(*heartbeat.mutable_demand());
+    agent.demandTold = m_ctx.dispatch->hasDemand(agent.load.service);
+    agent.heartbeatSent = m_ctx.now();
+    m_ctx.out.send(agent.incarnation, std::move(envelope));
+}
+
+void membership::sendHellos()
+{
+    const auto now = m_ctx.now();
+    if (m_helloSent && now - *m_helloSent < helloInterval) {
+        return;
+    }
+    m_helloSent = now;
+    forgetSilentAgents();
+    for (const auto &seed : m_ctx.options.seeds) {
+        if (seed != m_ctx.options.self.endpoint) {
+            wire::Envelope envelope;
+            envelope.mutable_hello();
+            m_ctx.out.sendTo(seed, incarnation_id::none, std::move(envelope));
+        }
+    }
+}
+
+void membership::heartbeatEntries()
+{
+    const auto now = m_ctx.now();
+    m_sendMembers = now - m_membersSent >= memberListInterval;
+    for (const auto &[incarnation, state] : m_ctx.entries) {
+        const auto interval = m_ctx.alive(incarnation) ? heartbeatInterval : peerTimeout;
+        if (now - state.heartbeatSent >= interval) {
+            sendEntryHeartbeat(incarnation);
+            m_membersSent = m_sendMembers ? now : m_membersSent;
+        }
+    }
+    m_sendMembers = true;
+}
+
+void membership::heartbeatAgents()
+{
+    const auto now = m_ctx.now();
+    for (auto &[incarnation, agent] : m_ctx.agents) {
+        if (now - agent.heartbeatSent >= agentHeartbeatInterval) {
+            if (!m_ctx.health.usable(incarnation, now)) {
+                m_ctx.credits.returnUnused(incarnation);
+            }
+            sendHeartbeat(agent);
+        }
+    }
+}
+
+void membership::forgetSilentAgents()
+{
+    for (const auto *peer : m_ctx.links.peers(wire::ROLE_AGENT)) {
+        const auto last = peer->newestEcho.value_or(peer->added);
+        const bool silent = m_ctx.now() - last > forgetPeerAfter;
+        if (silent && !m_ctx.agents.contains(peer->incarnation)) {
+            m_ctx.links.remove(peer->incarnation);
+        }
+    }
+}
+
+void membership::forgetSilentEntries()
+{
+    std::vector<incarnation_id> silent;
+    m_liveEntries = 0;
+    for (const auto &[incarnation, state] : m_ctx.entries) {
+        const auto *peer = m_ctx.links.find(incarnation);
+        const auto last = peer->newestEcho.value_or(peer->added);
+        if (m_ctx.now() - last > forgetPeerAfter) {
+            silent.push_back(incarnation);
+        }
+        if (m_ctx.alive(incarnation)) {
+            ++m_liveEntries;
+        } else {
+            m_ctx.admit.peerGone(incarnation);
+        }
+    }
+    for (const auto incarnation : silent) {
+        m_ctx.entries.erase(incarnation);
+        m_ctx.links.remove(incarnation);
+    }
+}
+
+void membership::tick()
+{
+    sendHellos();
+    if (m_ctx.now() < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = m_ctx.now() + sweepInterval;
+    forgetSilentEntries();
+    heartbeatEntries();
+    heartbeatAgents();
+}
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/src/entry/order_tracker.cpp
@@ -0,0 +1,218 @@
+#include "bamboohead/detail/entry/order_tracker.hpp"
+
+#include "bamboohead/detail/entry/dispatcher.hpp"
+#include "bamboohead/detail/entry/job_keeper.hpp"
+#include "bamboohead/detail/entry/record_keeper.hpp"
+
+namespace bamboohead::detail {
+
+void order_tracker::ordered(task_record &task, agent_record &agent)
+{
+    task.phase = task_phase::ordered;
+    task.agent = agent.incarnation;
+    task.job->orderSent = true;
+    agent.orders.push_back(task);
+    refresh(task);
+}
+
+void order_tracker::adopt(task_record &task, incarnation_id agent, std::uint32_t attempt)
+{
+    auto &job = *task.job;
+    std::erase(job.waiting, task.index);
+    task.phase = task_phase::ordered;
+    task.agent = agent;
+    task.attempt = attempt;
+    job.orderSent = true;
+    // Its death must close the job even when the agent has not announced itself to this entry.
+    auto &record = m_ctx.agents[agent];
+    if (record.incarnation == incarnation_id::none) {
+        record.incarnation = agent;
+        const auto *peer = m_ctx.links.find(agent);
+        record.endpoint = peer == nullptr ? std::string{} : peer->endpoint;
+        m_ctx.records->agentAdded(agent, record.endpoint);
+    }
+    record.orders.push_back(task);
+    refresh(task);
+}
+
+void order_tracker::refresh(task_record &task)
+{
+    task.watchHook.unlink();
+    task.watchedSince = m_ctx.now();
+    m_heard.push_back(task);
+}
+
+void order_tracker::receive(incarnation_id sender, const wire::TaskUpdates &updates)
+{
+    wire::Envelope envelope;
+    auto &ack = *envelope.mutable_update_ack();
+    std::vector<job_home> fenced;
+    for (const auto &update : updates.updates()) {
+        const auto ref = fromWire(update.ref());
+        const auto *job = m_ctx.jobs.find(ref.job);
+        const bool standby = job != nullptr && job->phase == job_phase::record;
+        if (standby) {
+            continue;
+        }
+        apply(sender, update);
+        *ack.add_refs() = update.ref();
+        const bool refused = update.state() == wire::TASK_STATE_REFUSED;
+        if (refused && errorFromWire(update.error()) == error_kind::order_fenced) {
+            fenced.push_back(ref.job.session.home);
+        }
+    }
+    m_ctx.out.send(sender, std::move(envelope));
+    for (const auto &home : fenced) {
+        m_ctx.keeper->homeFenced(home);
+    }
+    const auto known = m_ctx.agents.find(sender);
+    if (known != m_ctx.agents.end() && !known->second.load.service.empty()) {
+        auto &load = known->second.load;
+        load.running = updates.running();
+        load.queued = updates.queued();
+        load.creditEpoch = updates.credit_epoch();
+        load.issuedTotal = updates.issued_total();
+        m_ctx.credits.report(sender, load);
+    }
+}
+
+void order_tracker::apply(incarnation_id sender, const wire::TaskUpdate &update)
+{
+    const auto ref = fromWire(update.ref());
+    const bool failed = update.state() == wire::TASK_STATE_FAILED;
+    if (failed) {
+        // Also for jobs that have ended: a job that fails on several agents counts for none.
+        m_ctx.health.taskEnded(sender, ref.job, true, m_ctx.now());
+    }
+    auto *job = m_ctx.jobs.find(ref.job);
+    if (job == nullptr || ref.task >= job->tasks.size()) {
+        return;
+    }
+    auto &task = job->tasks[ref.task];
+    const bool current = task.phase == task_phase::ordered && task.agent == sender &&
+                         task.attempt == ref.attempt;
+    if (!current) {
+        return;
+    }
+    if (failed) {
+        m_ctx.admit.taskEnded(job->submission.service, m_ctx.now());
+        m_ctx.keeper->fail(*job, error_kind::task_failed, update.result());
+    } else if (update.state() == wire::TASK_STATE_FINISHED) {
+        finished(task, update);
+    } else if (update.state() == wire::TASK_STATE_REFUSED) {
+        refused(task, errorFromWire(update.error()));
+    } else {
+        refresh(task);
+    }
+}
+
+void order_tracker::finished(task_record &task, const wire::TaskUpdate &update)
+{
+    auto &job = *task.job;
+    const auto now = m_ctx.now();
+    const auto &service = job.submission.service;
+    m_ctx.health.taskEnded(task.agent, job.id(), false, now);
+    m_ctx.admit.taskEnded(service, now);
+    m_ctx.queue.observe(service, duration{static_cast<duration::rep>(update.run_time_us())});
+    task.watchHook.unlink();
+    task.agentHook.unlink();
+    task.phase = task_phase::finished;
+    task.result = update.result();
+    ++job.finished;
+    if (job.usage > 0) {
+        --job.usage;
+        m_ctx.admit.usageChanged(job.submission.team, -1);
+    }
+    if (job.finished == job.tasks.size()) {
+        m_ctx.keeper->complete(job);
+    }
+}
+
+void order_tracker::refused(task_record &task, error_kind kind)
+{
+    if (answerFor(kind).evidence == run_evidence::may_have_run) {
+        // Proves nothing about the start of this attempt; the query settles it.
+        return;
+    }
+    ++m_ctx.counters.ordersRefused;
+    const auto agent = m_ctx.agents.find(task.agent);
+    if (agent != m_ctx.agents.end() && kind != error_kind::order_void) {
+        agent->second.pausedUntil = m_ctx.now() + refusalPause;
+    }
+    task.watchHook.unlink();
+    task.agentHook.unlink();
+    task.phase = task_phase::waiting;
+    task.agent = incarnation_id::none;
+    task.attempt = task.job->owner == home_owner::backup
+                           ? std::max(task.attempt + 1, firstBackupAttempt)
+                           : task.attempt + 1;
+    task.job->waiting.push_back(task.index);
+    if (task.job->phase == job_phase::running) {
+        m_ctx.dispatch->returned(task);
+    }
+}
+
+void order_tracker::agentDead(incarnation_id agent, std::string_view reason)
+{
+    const auto found = m_ctx.agents.find(agent);
+    if (found == m_ctx.agents.end()) {
+        return;
+    }
+    auto &record = found->second;
+    m_ctx.out.log("agent_dead", {{"agent", toText(agent)}, {"reason", std::string{reason}}});
+    while (!record.orders.empty()) {
+        m_ctx.keeper->fail(*record.orders.front().job, error_kind::outcome_unknown);
+    }
+    // Only now: while jobs have orders there, a takeover has to fence this agent.
+    m_ctx.records->agentRemoved(agent);
+    m_ctx.credits.remove(agent);
+    m_ctx.health.remove(agent);
+    m_ctx.agents.erase(found);
+}
+
+void order_tracker::querySilent(watch_list &list, duration limit,
+                                std::map<incarnation_id, wire::Envelope> &queries)
+{
+    const auto now = m_ctx.now();
+    while (!list.empty() && now - list.front().watchedSince >= limit) {
+        auto &task = list.front();
+        auto &query = *queries[task.agent].mutable_task_query();
+        toWire(task_ref{task.job->id(), task.index, task.attempt}, *query.add_refs());
+        task.watchHook.unlink();
+        task.watchedSince = now;
+        m_queried.push_back(task);
+    }
+}
+
+void order_tracker::findDeadAgents()
+{
+    if (m_ctx.now() < m_ctx.judgeAfter) {
+        return;
+    }
+    std::vector<incarnation_id> dead;
+    for (const auto &[incarnation, agent] : m_ctx.agents) {
+        if (!m_ctx.alive(incarnation)) {
+            dead.push_back(incarnation);
+        }
+    }
+    for (const auto agent : dead) {
+        agentDead(agent, "silent");
+    }
+}
+
+void order_tracker::tick()
+{
+    if (m_ctx.now() < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = m_ctx.now() + sweepInterval;
+    findDeadAgents();
+    std::map<incarnation_id, wire::Envelope> queries;
+    querySilent(m_heard, orderSilenceLimit, queries);
+    querySilent(m_queried, queryInterval, queries);
+    for (auto &[agent, envelope] : queries) {
+        m_ctx.out.send(agent, std::move(envelope));
+    }
+}
+
+} // namespace bamboohead::detail
--- /dev/null
+++ b/src/entry/shutdown.cpp
@@ -0,0 +1,71 @@
+#include "bamboohead/detail/entry/shutdown.hpp"
+
+#include "bamboohead/detail/entry/forwarder.hpp"
+#include "bamboohead/detail/entry/membership.hpp"
+
+namespace bamboohead::detail {
+
+void shutdown::begin()
+{
+    if (m_stage != stage::serving) {
+        return;
+    }
+    m_stage = stage::draining;
+    m_ctx.draining = true;
+    m_ctx.out.log("draining", {{"jobs", std::to_string(m_ctx.jobs.unfinished())}});
+    m_ctx.members->announce();
+}
+
+bool shutdown::drained() const
+{
+    return m_ctx.jobs.unfinished() == 0 && m_ctx.forwards->pending() == 0 &&
+           m_ctx.jobs.unacknowledgedCloses.empty();
+}
+
+void shutdown::sendHomeStopping()
+{
+    for (const auto &[id, home] : m_ctx.homes.primary) {
+        if (!home.hasBackup() || !m_ctx.alive(id.backup)) {
+            continue;
+        }
+        wire::Envelope envelope;
+        toWire(id, *envelope.mutable_home_stopping()->mutable_home());
+        m_ctx.out.send(id.backup, std::move(envelope));
+    }
+    m_sent = m_ctx.now();
+}
+
+void shutdown::hand()
+{
+    // An acknowledgement removes the home, so the homes left are those without one.
+    const auto now = m_ctx.now();
+    const bool timedOut = now - m_handingSince >= homeStoppingTimeout;
+    const bool due = now - m_sent >= homeStoppingInterval;
+    const bool acknowledged = std::ranges::none_of(m_ctx.homes.primary, [this](const auto &held) {
+        return held.second.hasBackup() && m_ctx.alive(held.first.backup);
+    });
+    if (!timedOut && !acknowledged) {
+        if (due) {
+            sendHomeStopping();
+        }
+        return;
+    }
+    m_stage = stage::done;
+    m_ctx.forwards->answerAll();
+    m_ctx.out.log("shutdown_complete", {{"timed_out", timedOut ? "true" : "false"}});
+    m_ctx.out.push(shutdown_complete{});
+}
+
+void shutdown::tick()
+{
+    if (m_stage == stage::draining && drained()) {
+        m_stage = stage::handing;
+        m_handingSince = m_ctx.now();
+        sendHomeStopping();
+    }
+    if (m_stage == stage::handing) {
+        hand();
+    }
+}
+
+} // namespace bamboohead::detail
