--- a/src/adapters/entry_process.cpp
+++ b/src/adapters/entry_process.cpp
@@ -1,6 +1,8 @@
 #include "bamboohead/entry_core.hpp"
 #include "bamboohead/http_entry.hpp"
+#include "bamboohead/manifest_watcher.hpp"
 #include "bamboohead/process.hpp"
+#include "bamboohead/store_client.hpp"
 #include "process_parts.hpp"
 
 #include <boost/json.hpp>
@@ -51,6 +53,35 @@
     }
 }
 
+/// The store's client and the watcher that uses it.
+class store_follower
+{
+public:
+    store_follower(const entry_settings &settings, const clock &clock,
+                   input_queue<entry_input> &inputs)
+    {
+        if (settings.store.empty()) {
+            return;
+        }
+        store_options options;
+        options.endpoints = settings.store;
+        options.seed = seedOrRandom(settings.seed);
+        m_client = makeEtcdClient(options);
+        watcher_options intervals;
+        intervals.seed = options.seed;
+        m_watcher = std::make_unique<manifest_watcher>(
+                *m_client, clock,
+                [&inputs](const manifest_update &update) {
+                    inputs.push(store_read_input{update.version, update.text, update.sentAt});
+                },
+                intervals);
+    }
+
+private:
+    std::unique_ptr<store_client> m_client;
+    std::unique_ptr<manifest_watcher> m_watcher;
+};
+
 } // namespace
 
 void runEntry(const process_settings &settings)
@@ -70,6 +101,7 @@
                        stateSource(inputs)};
     const http_entry routes{server, settings.http.maxConnections, inputs, callers, metrics};
     server.start();
+    const store_follower store{settings.entry, clock, inputs};
     logStart(options.self, settings.http);
     control_loop<entry_core, entry_input> loop{{core, inputs, messages, metrics, signals, draining},
                                                feed,
