Test credits on demand, message cost and membership; bound durations from the wire

Cause: a peer's duration near the 64-bit limit overflowed when added to a time point. Conclusion: a short task costs the agent one message.

--- a/include/bamboohead/detail/agent/agent_implementation.hpp
+++ b/include/bamboohead/detail/agent/agent_implementation.hpp
@@ -102,6 +102,9 @@
                                        bool covered, const origin &from) const;
     [[nodiscard]] error_kind startObstacle(const std::string &service, time_point deadline) const;
     void queryOrder(const task_ref &ref, const origin &from);
+    /// Answers a sender that does not own the home. Not recorded, because the backup may use the
+    /// same attempt number.
+    void answerFenced(const task_ref &ref, const origin &from);
     void refuseOrder(const task_ref &ref, error_kind error, const origin &from);
     void withdrawOrder(detail::order_record &order, error_kind error);
     void sweepQueue();
@@ -134,6 +137,7 @@
     void logTask(std::string_view name, const task_ref &ref, log_fields fields = {});
 
     [[nodiscard]] boost::json::array dumpEntries() const;
+    [[nodiscard]] boost::json::array dumpOrders() const;
 
     agent_options m_options;
     const clock &m_clock;
@@ -160,4 +164,7 @@
 /// @brief The report of an order's present state.
 [[nodiscard]] wire::TaskUpdate toUpdate(const detail::order_record &order);
 
+/// @brief A duration received from a peer, at most 24 hours so that sums with it cannot overflow.
+[[nodiscard]] duration durationFromWire(std::uint64_t microseconds);
+
 } // namespace bamboohead
--- a/include/bamboohead/detail/agent/task_table.hpp
+++ b/include/bamboohead/detail/agent/task_table.hpp
@@ -144,7 +144,7 @@
                          const std::function<void(const order_record &)> &visit);
 
     /// @brief Visits queued and running orders.
-    void forEachActive(const std::function<void(const order_record &)> &visit);
+    void forEachActive(const std::function<void(const order_record &)> &visit) const;
 
     [[nodiscard]] queue_list &queue() noexcept { return m_queue; }
     [[nodiscard]] std::size_t queued() const noexcept { return m_queued; }
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -2,7 +2,6 @@
 
 #include "bamboohead/detail/agent/agent_implementation.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace bamboohead {
@@ -152,9 +151,8 @@
     detail::entry_demand own;
     for (const auto &demand : demands) {
         if (demand.service() == m_target->service) {
-            const auto age = static_cast<duration::rep>(demand.oldest_age_us());
             own.waiting = demand.waiting();
-            own.oldestSince = m_clock.now() - duration{age};
+            own.oldestSince = m_clock.now() - durationFromWire(demand.oldest_age_us());
         }
     }
     m_credits.setDemand(from.sender, own);
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -8,6 +8,13 @@
 using detail::order_record;
 using detail::order_state;
 
+duration durationFromWire(std::uint64_t microseconds)
+{
+    constexpr duration longest = std::chrono::hours{24};
+    const auto limit = static_cast<std::uint64_t>(longest.count());
+    return duration{static_cast<duration::rep>(std::min(microseconds, limit))};
+}
+
 void agent_core::implementation::onStartTasks(const wire::StartTasks &start, const origin &from)
 {
     if (config_version{start.config_version()} > m_config.version()) {
@@ -32,13 +39,8 @@
         return;
     }
     if (!ownerMaySend(ref.job.session.home, owner, from.sender)) {
-        // Not recorded: the backup may use the same attempt number.
         ++m_counters.ordersRefused;
-        wire::TaskUpdate update;
-        *update.mutable_ref() = order.ref();
-        update.set_state(wire::TASK_STATE_REFUSED);
-        update.set_error(toWire(error_kind::order_fenced));
-        addUpdate(from.sender, std::move(update), m_clock.now());
+        answerFenced(ref, from);
         return;
     }
     const auto refusal = refusalOf(order, ref, covered, from);
@@ -46,9 +48,8 @@
         refuseOrder(ref, refusal, from);
         return;
     }
-    const duration remaining{static_cast<duration::rep>(order.remaining_us())};
-    auto &accepted = m_tasks.accept(ref, from.sender,
-                                    {order.service(), order.payload(), m_clock.now() + remaining});
+    const auto deadline = m_clock.now() + durationFromWire(order.remaining_us());
+    auto &accepted = m_tasks.accept(ref, from.sender, {order.service(), order.payload(), deadline});
     m_credits.setHeld(m_tasks.queued() + m_tasks.running());
     logTask("order_accepted", ref, {{"entry", toText(from.sender)}});
     addUpdate(from.sender, toUpdate(accepted), m_clock.now() + acceptanceDelay);
@@ -73,8 +74,8 @@
     if (m_tasks.taskTaken(ref)) {
         return error_kind::order_duplicate;
     }
-    const duration remaining{static_cast<duration::rep>(order.remaining_us())};
-    const auto obstacle = startObstacle(order.service(), m_clock.now() + remaining);
+    const auto deadline = m_clock.now() + durationFromWire(order.remaining_us());
+    const auto obstacle = startObstacle(order.service(), deadline);
     if (obstacle != error_kind::none) {
         return obstacle;
     }
@@ -141,11 +142,7 @@
         return;
     }
     if (order == nullptr) {
-        wire::TaskUpdate update;
-        toWire(ref, *update.mutable_ref());
-        update.set_state(wire::TASK_STATE_REFUSED);
-        update.set_error(toWire(error_kind::order_fenced));
-        addUpdate(from.sender, std::move(update), m_clock.now());
+        answerFenced(ref, from);
         return;
     }
     if (order->state == order_state::queued && order->destination == from.sender) {
@@ -175,6 +172,15 @@
     send(from.sender, std::move(envelope));
 }
 
+void agent_core::implementation::answerFenced(const task_ref &ref, const origin &from)
+{
+    wire::TaskUpdate update;
+    toWire(ref, *update.mutable_ref());
+    update.set_state(wire::TASK_STATE_REFUSED);
+    update.set_error(toWire(error_kind::order_fenced));
+    addUpdate(from.sender, std::move(update), m_clock.now());
+}
+
 void agent_core::implementation::refuseOrder(const task_ref &ref, error_kind error,
                                              const origin &from)
 {
--- a/src/agent/task_table.cpp
+++ b/src/agent/task_table.cpp
@@ -152,7 +152,7 @@
     }
 }
 
-void task_table::forEachActive(const std::function<void(const order_record &)> &visit)
+void task_table::forEachActive(const std::function<void(const order_record &)> &visit) const
 {
     std::ranges::for_each(m_queue, visit);
     std::ranges::for_each(m_runningOrders, visit);
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1,6 +1,7 @@
 #include "bamboohead/agent_core.hpp"
 #include "bamboohead/detail/agent/task_table.hpp"
 
+#include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -556,6 +557,70 @@
     CHECK(credits(primaryId) == 0);
 }
 
+TEST_CASE_FIXTURE(agent_fixture, "a freed credit is told at once to an entry with waiting tasks")
+{
+    // Guards against slots that stay idle until the next heartbeat.
+    start({refOf(0), refOf(1)});
+    auto waiting = heartbeatOf(backupId, 1);
+    auto &demand = *waiting.mutable_entry_heartbeat()->add_demand();
+    demand.set_service(service);
+    demand.set_waiting(9);
+    demand.set_oldest_age_us(~std::uint64_t{0}); // must not overflow
+    receive(waiting);
+    CHECK(credits(backupId) == 2);
+    end(refOf(0));
+    CHECK(credits(backupId) == 3);
+    CHECK(credits(primaryId) == 0);
+}
+
+TEST_CASE_FIXTURE(agent_fixture, "a short task costs the agent one message")
+{
+    // Guards against more than three messages a task between our processes.
+    sent.clear();
+    start({refOf(0)});
+    pass(50ms);
+    end(refOf(0));
+    REQUIRE(sent.size() == 1);
+    CHECK(sent.front().task_updates().updates_size() == 2);
+
+    acknowledge(primaryId, refOf(0));
+    start({refOf(1)});
+    pass(110ms); // a longer task is reported as accepted before its end
+    CHECK(update(refOf(1))->state() == wire::TASK_STATE_ACCEPTED);
+}
+
+TEST_CASE_FIXTURE(agent_fixture, "a leaving target is announced at once")
+{
+    // Guards against orders sent in the half second before the next heartbeat.
+    sent.clear();
+    core().targetAnnounced({service, 2, target_state::leaving});
+    tick();
+    const auto told = std::ranges::count_if(
+            sent, [](const auto &m) { return m.agent_heartbeat().leaving(); });
+    CHECK(told == 2);
+}
+
+TEST_CASE_FIXTURE(agent_fixture, "an entry silent for 10 s is dropped unless others list it")
+{
+    // Guards against heartbeats to dead entries for ever, and against losing entries that are
+    // only cut off from this agent.
+    constexpr incarnation_id listedId{3};
+    const auto known = [this](incarnation_id id) {
+        return boost::json::serialize(core().dump().as_object().at("entries")).find(toText(id)) !=
+               std::string::npos;
+    };
+    for (int second = 0; second < 22; ++second) {
+        auto envelope = heartbeatOf(primaryId, 1);
+        envelope.mutable_entry_heartbeat()->add_entries()->set_incarnation(
+                static_cast<std::uint64_t>(listedId));
+        receive(envelope);
+        pass(500ms);
+    }
+    CHECK(known(primaryId));
+    CHECK(known(listedId));
+    CHECK_FALSE(known(backupId));
+}
+
 TEST_CASE_FIXTURE(agent_fixture, "an agent announces itself to six of many entries")
 {
     // Guards against traffic that grows with the number of entries.
