--- a/include/bamboohead/detail/entry/order_tracker.hpp
+++ b/include/bamboohead/detail/entry/order_tracker.hpp
@@ -26,6 +26,9 @@
     void tick();
 
 private:
+    /// @brief Whether a takeover still needs the agent's report of this task; the update must not
+    ///        be acknowledged, so that the agent sends it again.
+    [[nodiscard]] bool precedesReport(const task_ref &ref);
     void finished(task_record &task, const wire::TaskUpdate &update);
     void refused(task_record &task, error_kind kind);
     void refresh(task_record &task);
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -220,7 +220,8 @@
     auto &heartbeat = *envelope.mutable_entry_heartbeat();
     heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
     heartbeat.set_current(m_ctx.config.entryCurrent());
-    heartbeat.set_draining(m_ctx.draining);
+    // Agents withdraw the credits of a draining entry, which still has to start its waiting tasks.
+    heartbeat.set_draining(m_ctx.draining && m_ctx.queue.empty());
     const auto usage = m_ctx.credits.usageOf(agent.incarnation);
     heartbeat.set_credit_epoch(usage.epoch);
     heartbeat.set_used_total(usage.usedTotal);
--- a/src/entry/order_tracker.cpp
+++ b/src/entry/order_tracker.cpp
@@ -42,6 +42,16 @@
     m_heard.push_back(task);
 }
 
+bool order_tracker::precedesReport(const task_ref &ref)
+{
+    const auto *job = m_ctx.jobs.find(ref.job);
+    if (job == nullptr || ref.task >= job->tasks.size()) {
+        return false;
+    }
+    const bool reported = job->tasks[ref.task].phase != task_phase::waiting;
+    return job->phase == job_phase::record || (job->phase == job_phase::fencing && !reported);
+}
+
 void order_tracker::receive(incarnation_id sender, const wire::TaskUpdates &updates)
 {
     wire::Envelope envelope;
@@ -49,9 +59,7 @@
     std::vector<job_home> fenced;
     for (const auto &update : updates.updates()) {
         const auto ref = fromWire(update.ref());
-        const auto *job = m_ctx.jobs.find(ref.job);
-        const bool standby = job != nullptr && job->phase == job_phase::record;
-        if (standby) {
+        if (precedesReport(ref)) {
             continue;
         }
         apply(sender, update);
@@ -130,8 +138,10 @@
 
 void order_tracker::refused(task_record &task, error_kind kind)
 {
-    if (answerFor(kind).evidence == run_evidence::may_have_run) {
-        // Proves nothing about the start of this attempt; the query settles it.
+    // A duplicate or an unassigned reason proves nothing about the start of the task; an agent that
+    // refuses for the passed deadline has not started it.
+    const bool provesNothing = answerFor(kind).evidence == run_evidence::may_have_run;
+    if (provesNothing && kind != error_kind::deadline_exceeded) {
         return;
     }
     ++m_ctx.counters.ordersRefused;
