Test takeover, fencing, forwarding and the graceful stop of an entry

Two entries that knew each other only by hearsay exchanged no echo for 2 s. Change: tests with three entries; a heartbeat without echo is answered at once, and a new entry is passed on in the next heartbeat.

--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -93,6 +93,10 @@
     state.draining = heartbeat.draining();
     state.current = heartbeat.current();
     learn(heartbeat.entries());
+    if (envelope.echo_us() == 0) {
+        // Two entries that know each other by hearsay only: the sender still needs an echo.
+        sendEntryHeartbeat(sender);
+    }
     std::map<std::string, std::uint32_t, std::less<>> usage;
     for (const auto &team : heartbeat.usage()) {
         usage[team.team()] = team.running();
@@ -253,8 +257,7 @@
     const auto now = m_ctx.now();
     m_sendMembers = now - m_membersSent >= memberListInterval;
     for (const auto &[incarnation, state] : m_ctx.entries) {
-        const auto interval = m_ctx.alive(incarnation) ? heartbeatInterval : peerTimeout;
-        if (now - state.heartbeatSent >= interval) {
+        if (now - state.heartbeatSent >= heartbeatInterval) {
             sendEntryHeartbeat(incarnation);
             m_membersSent = m_sendMembers ? now : m_membersSent;
         }
@@ -289,7 +292,7 @@
 void membership::forgetSilentEntries()
 {
     std::vector<incarnation_id> silent;
-    m_liveEntries = 0;
+    const auto liveBefore = std::exchange(m_liveEntries, 0);
     for (const auto &[incarnation, state] : m_ctx.entries) {
         const auto *peer = m_ctx.links.find(incarnation);
         const auto last = peer->newestEcho.value_or(peer->added);
@@ -302,6 +305,9 @@
             m_ctx.admit.peerGone(incarnation);
         }
     }
+    if (m_liveEntries > liveBefore) {
+        m_membersSent = {}; // passes a new entry on at once
+    }
     for (const auto incarnation : silent) {
         m_ctx.entries.erase(incarnation);
         m_ctx.links.remove(incarnation);
--- /dev/null
+++ b/tests/entry_takeover_test.cpp
@@ -0,0 +1,288 @@
+#include "entry_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// @brief Entries 1 (graz), 2 (linz) and 3 (graz), agents 11 and 12 with one credit each for entry
+///        1, and a session homed at 1 with backup 2.
+struct three_entries : entry_fixture
+{
+    three_entries()
+        : graz{addAgent(11, "graz")}
+        , linz{addAgent(12, "linz")}
+    {
+        addEntry(1, "graz");
+        addEntry(2, "linz");
+        addEntry(3, "graz");
+        run(1s);
+        session = open(1);
+        run(20ms);
+    }
+
+    /// @brief Submits a job of `tasks` tasks at entry 1 with request 5 and ends entry 1.
+    void submitAndKill(std::size_t tasks)
+    {
+        submit(1, 5, job(session, 1, tasks));
+        placed = graz.orders.size() + linz.orders.size();
+        kill("e1");
+    }
+
+    [[nodiscard]] std::size_t resumed() const
+    {
+        return static_cast<std::size_t>(std::ranges::count(graz.owners, wire::OWNER_BACKUP) +
+                                        std::ranges::count(linz.owners, wire::OWNER_BACKUP));
+    }
+
+    hand_agent &graz;
+    hand_agent &linz;
+    session_id session;
+    std::size_t placed = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(three_entries, "a takeover starts only tasks that no agent has started")
+{
+    // Guards against a second start of tasks that run or ran (R1).
+    submitAndKill(25);
+    REQUIRE(placed == 20);
+    for (std::size_t order = 0; order < 10; ++order) {
+        const bool ended = order % 2 == 0;
+        const auto state = ended ? wire::TASK_STATE_FINISHED : wire::TASK_STATE_RUNNING;
+        const auto result = "g" + std::to_string(graz.orders[order].ref().task());
+        graz.held.push_back(graz.update(order, state, result));
+        linz.held.push_back(linz.update(order, wire::TASK_STATE_REFUSED));
+    }
+    run(2500ms);
+    CHECK(graz.fences == 1);
+    CHECK(linz.fences == 1);
+    // Ten refused and five never ordered.
+    CHECK(resumed() == 15);
+    submit(3, 6, job(session, 1, 25));
+    CHECK_FALSE(answered(6));
+    for (auto *agent : {&graz, &linz}) {
+        for (std::size_t order = 0; order < agent->orders.size(); ++order) {
+            const auto task = std::to_string(agent->orders[order].ref().task());
+            const bool ofBackup = agent->owners[order] == wire::OWNER_BACKUP;
+            const bool running = agent == &graz && order < 10;
+            if (ofBackup || running) {
+                sendUpdate(*agent, 2, agent->update(order, wire::TASK_STATE_FINISHED, "g" + task));
+            }
+        }
+    }
+    REQUIRE(answered(6));
+    REQUIRE(answer(6).outcome == job_outcome::complete);
+    for (std::size_t task = 0; task < 25; ++task) {
+        CHECK(answer(6).results[task] == "g" + std::to_string(task));
+    }
+    CHECK(resumed() == 15);
+}
+
+TEST_CASE_FIXTURE(three_entries, "an agent without a report makes the outcome unknown")
+{
+    // Guards against a second start of a task that the unreported agent may have started (R1).
+    linz.reports = false;
+    submitAndKill(25);
+    SUBCASE("the job has tasks that nobody reported")
+    {
+        run(2500ms);
+        submit(3, 6, job(session, 1, 25));
+        CHECK_FALSE(answered(6));
+        run(1s);
+        REQUIRE(answered(6));
+        CHECK(answer(6).error == error_kind::outcome_unknown);
+        CHECK(answer(6).mayHaveRun);
+        CHECK(linz.fences >= 4);
+    }
+    SUBCASE("a report that comes too late changes nothing")
+    {
+        run(4s);
+        linz.reports = true;
+        wire::Envelope late;
+        toWire(session.home, *late.mutable_fence_report()->mutable_home());
+        send(linz, 2, late);
+        run(100ms);
+    }
+    CHECK(resumed() == 0);
+}
+
+TEST_CASE_FIXTURE(three_entries, "a job whose tasks are all reported survives a missing report")
+{
+    linz.reports = false;
+    submitAndKill(1);
+    auto &used = graz.orders.empty() ? linz : graz;
+    auto &other = graz.orders.empty() ? graz : linz;
+    used.reports = true;
+    other.reports = false;
+    used.held.push_back(used.update(0, wire::TASK_STATE_RUNNING));
+    run(4s);
+    submit(3, 6, job(session, 1));
+    CHECK_FALSE(answered(6));
+    sendUpdate(used, 2, used.update(0, wire::TASK_STATE_FINISHED, "r"));
+    REQUIRE(answered(6));
+    CHECK(answer(6).results == std::vector<std::string>{"r"});
+}
+
+TEST_CASE_FIXTURE(three_entries, "a backup never starts a job without a record")
+{
+    // Guards against a second start of a job whose record was lost (R1, rule 7).
+    lose = [](const wire::Envelope &envelope) { return envelope.has_record_put(); };
+    submit(1, 5, job(session, 1));
+    run(300ms);
+    CHECK(graz.orders.size() + linz.orders.size() == 1);
+    kill("e1");
+    lose = [](const auto &) { return false; };
+    SUBCASE("after the takeover")
+    {
+        run(4s);
+        submit(3, 6, job(session, 1));
+        submit(3, 7, job(session, 2));
+        run(100ms);
+    }
+    SUBCASE("when the submission waits for the takeover")
+    {
+        submit(2, 6, job(session, 1));
+        submit(3, 7, job(session, 2));
+        run(4s);
+    }
+    REQUIRE(answered(6));
+    CHECK(answer(6).error == error_kind::outcome_unknown);
+    CHECK(answer(7).error == error_kind::outcome_unknown);
+    CHECK(resumed() == 0);
+}
+
+TEST_CASE_FIXTURE(three_entries, "an answer given by the primary is given by the backup too")
+{
+    submit(1, 5, job(session, 1));
+    auto &used = graz.orders.empty() ? linz : graz;
+    sendUpdate(used, 1, used.update(0, wire::TASK_STATE_FINISHED, "r"));
+    CHECK(answered(5));
+    kill("e1");
+    run(2500ms);
+    submit(3, 6, job(session, 1));
+    REQUIRE(answered(6));
+    CHECK(answer(6).results == std::vector<std::string>{"r"});
+    CHECK(resumed() == 0);
+}
+
+TEST_CASE_FIXTURE(three_entries, "without both entries of the home the outcome is unknown")
+{
+    // Guards against "not run" or a new start when all evidence is gone (rule 7).
+    submitAndKill(1);
+    kill("e2");
+    run(2500ms);
+    submit(3, 6, job(session, 1));
+    run(2500ms);
+    CHECK_FALSE(answered(6));
+    run(1s);
+    REQUIRE(answered(6));
+    CHECK(answer(6).error == error_kind::outcome_unknown);
+    CHECK(resumed() == 0);
+}
+
+TEST_CASE_FIXTURE(three_entries, "a request to the primary moves to the backup when it dies")
+{
+    // Guards against a caller that waits forever at a third entry (R4).
+    submit(3, 6, job(session, 1));
+    auto &used = graz.orders.empty() ? linz : graz;
+    REQUIRE(used.orders.size() == 1);
+    used.held.push_back(used.update(0, wire::TASK_STATE_FINISHED, "r"));
+    kill("e1");
+    run(3s);
+    REQUIRE(answered(6));
+    CHECK(answer(6).results == std::vector<std::string>{"r"});
+}
+
+TEST_CASE_FIXTURE(three_entries, "a fenced primary passes its waiters to the backup")
+{
+    // Guards against answers of two owners, and against waiters that the old owner forgets.
+    submit(1, 5, job(session, 1));
+    auto &used = graz.orders.empty() ? linz : graz;
+    const bool waiting = true;
+    used.held.push_back(used.update(0, wire::TASK_STATE_RUNNING));
+    const auto apart = [](const wire::Envelope &envelope) {
+        return envelope.sender() + envelope.receiver() == 3;
+    };
+    lose = apart;
+    run(2500ms);
+    CHECK(entry(2).counters().takeovers == 1);
+    SUBCASE("told by an agent")
+    {
+        auto refusal = used.update(0, wire::TASK_STATE_REFUSED);
+        refusal.mutable_ref()->set_attempt(77);
+        refusal.set_error(toWire(error_kind::order_fenced));
+        sendUpdate(used, 1, refusal);
+        lose = [](const auto &) { return false; };
+    }
+    SUBCASE("told by the backup")
+    {
+        lose = [](const auto &) { return false; };
+        run(1s);
+        submit(1, 7, job(session, 2));
+        CHECK(answer(7).error == error_kind::outcome_unknown);
+    }
+    CHECK(answered(5) != waiting);
+    run(1s);
+    sendUpdate(used, 2, used.update(0, wire::TASK_STATE_FINISHED, "r"));
+    REQUIRE(answered(5));
+    CHECK(answer(5).results == std::vector<std::string>{"r"});
+    CHECK(graz.orders.size() + linz.orders.size() == 1);
+    CHECK(open(1).home.backup != incarnation_id{2});
+}
+
+TEST_CASE_FIXTURE(three_entries, "a stopping entry ends its jobs and hands its homes over")
+{
+    // Guards against a planned stop that interrupts a request (R8).
+    submit(1, 5, job(session, 1, 25));
+    entry(1).stop();
+    settle();
+    submit(1, 6, job(session, 2));
+    CHECK(answer(6).error == error_kind::stopping);
+    CHECK(open(1) == session_id{});
+    run(300ms);
+    CHECK(open(2).home.backup == incarnation_id{3});
+    CHECK(stopped.empty());
+    graz.issued = 20;
+    run(200ms);
+    for (auto *agent : {&graz, &linz}) {
+        for (std::size_t order = 0; order < agent->orders.size(); ++order) {
+            sendUpdate(*agent, 1, agent->update(order, wire::TASK_STATE_FINISHED, "r"));
+        }
+    }
+    CHECK(answer(5).outcome == job_outcome::complete);
+    run(100ms);
+    CHECK(stopped.contains(1));
+    CHECK(entry(2).counters().takeovers == 1);
+    kill("e1");
+    run(1500ms);
+    submit(3, 7, job(session, 1, 25));
+    run(1500ms);
+    REQUIRE(answered(7));
+    CHECK(answer(7).results.size() == 25);
+}
+
+TEST_CASE_FIXTURE(three_entries, "a record or scope that waited in a queue is not acknowledged")
+{
+    // Guards against a backup that acknowledges what it received before it was frozen (2.2).
+    std::vector<wire::Envelope> delayed;
+    std::size_t acks = 0;
+    lose = [&](const wire::Envelope &envelope) {
+        acks += envelope.has_record_ack() ? 1 : 0;
+        if (envelope.has_record_put()) {
+            delayed.push_back(envelope);
+        }
+        return envelope.has_record_put();
+    };
+    submit(1, 5, job(session, 1));
+    REQUIRE(delayed.size() == 1);
+    run(2100ms);
+    entry(2).receive(delayed[0]);
+    settle();
+    CHECK(acks == 0);
+}
