Add the operators' commands manifest and zone

Cause: operators need to check, read and change the manifest, and to know when a change is in force.

The commands push an accepted version to the entries and poll their states until each process that an entry hears reports the version; they print which processes lag.

--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -18,6 +18,8 @@
         subcommand{"entry", "run an entry", bamboohead::entryCommand},
         subcommand{"agent", "run an agent", bamboohead::agentCommand},
         subcommand{"submit", "submit a job and print its answer", bamboohead::submitCommand},
+        subcommand{"manifest", "check, print or apply the manifest", bamboohead::manifestCommand},
+        subcommand{"zone", "take a zone out of service or back in", bamboohead::zoneCommand},
         subcommand{"state", "print the state of a process", bamboohead::stateCommand},
         subcommand{"settings", "print the reference of all settings", bamboohead::settingsCommand},
 };
--- /dev/null
+++ b/src/commands/manifest_change.cpp
@@ -0,0 +1,161 @@
+#include "manifest_change.hpp"
+
+#include "bamboohead/commands.hpp"
+#include "bamboohead/manifest_publish.hpp"
+#include "bamboohead/rollout.hpp"
+#include "bamboohead/settings.hpp"
+
+#include <httplib.h>
+
+#include <iostream>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace bamboohead {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds pollInterval{100};
+constexpr std::chrono::milliseconds entryTimeout{1000};
+constexpr std::uint32_t toolRounds = 3;
+constexpr int statusOk = 200;
+constexpr int longestTimeout = 600'000; ///< milliseconds
+
+httplib::Client entryClient(const std::string &address)
+{
+    httplib::Client client{"http://" + address};
+    client.set_connection_timeout(entryTimeout);
+    client.set_read_timeout(entryTimeout);
+    client.set_write_timeout(entryTimeout);
+    return client;
+}
+
+bool pushTo(const std::string &address, const std::string &text, config_version version)
+{
+    const httplib::Headers headers{
+            {"X-Config-Version", std::to_string(static_cast<std::uint64_t>(version))}};
+    const auto response =
+            entryClient(address).Put("/v1/manifest", headers, text, "application/json");
+    return response && response->status == statusOk;
+}
+
+rollout readStates(const std::vector<std::string> &entries, config_version version)
+{
+    rollout view{version};
+    for (const auto &address : entries) {
+        const auto response = entryClient(address).Get("/v1/state");
+        if (!response || response->status != statusOk || !view.addState(address, response->body)) {
+            view.addUnreachable(address);
+        }
+    }
+    return view;
+}
+
+void printRollout(const rollout &view, std::uint64_t version, steady::time_point begin)
+{
+    const auto spent =
+            std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - begin).count();
+    std::cout << "version=" << version << " processes_in_force=" << view.inForce()
+              << " complete=" << (view.complete() ? "true" : "false") << " after_ms=" << spent
+              << "\n";
+    for (const auto &line : view.lagging()) {
+        std::cout << "lagging: " << line << "\n";
+    }
+    for (const auto &line : view.silent()) {
+        std::cout << "not heard by any entry, so it starts nothing: " << line << "\n";
+    }
+}
+
+} // namespace
+
+change_arguments::change_arguments(TCLAP::CmdLine &line)
+    : m_store{"",   "store", "Addresses of the store's HTTP gateway.",
+              true, "",      "HOST:PORT[,HOST:PORT]",
+              line}
+    , m_entries{"",    "entries", "HTTP addresses of entries that get the manifest.",
+                false, "",        "HOST:PORT[,HOST:PORT]",
+                line}
+    , m_timeout{"",    "timeout-ms", "Time for the write, and again for the roll-out, ms.",
+                false, 10'000,       "MS",
+                line}
+{}
+
+change_options change_arguments::options() const
+{
+    change_options result;
+    result.store = parseAddresses(m_store.getValue());
+    if (m_entries.isSet()) {
+        result.entries = parseAddresses(m_entries.getValue());
+    }
+    if (m_timeout.getValue() < 1 || m_timeout.getValue() > longestTimeout) {
+        throw TCLAP::CmdLineParseException{"--timeout-ms allows 1 to 600000 ms"};
+    }
+    result.timeout = std::chrono::milliseconds{m_timeout.getValue()};
+    return result;
+}
+
+std::unique_ptr<store_client> makeToolClient(const change_options &options)
+{
+    store_options result;
+    result.endpoints = options.store;
+    result.maxRounds = toolRounds;
+    result.callTimeout = std::min<duration>(result.callTimeout, options.timeout);
+    result.seed = std::random_device{}();
+    return makeEtcdClient(result);
+}
+
+int changeManifest(store_client &store, const change_options &options, const std::string &text,
+                   store_revision expected)
+{
+    publish_options limits;
+    limits.timeout = options.timeout;
+    limits.now = [] { return std::chrono::time_point_cast<duration>(steady::now()); };
+    limits.pause = [](duration delay) { std::this_thread::sleep_for(delay); };
+    const auto result = publishManifest(store, text, expected, limits);
+    if (result.error != error_kind::none) {
+        return reportStoreError(result.error, result.detail);
+    }
+    std::cout << "accepted version=" << static_cast<std::uint64_t>(result.version) << std::endl;
+    return pushManifest(options, text, result.version);
+}
+
+int pushManifest(const change_options &options, const std::string &text, config_version version)
+{
+    if (options.entries.empty()) {
+        return exit_ok;
+    }
+    const auto begin = steady::now();
+    std::set<std::string> pending{options.entries.begin(), options.entries.end()};
+    while (true) {
+        std::erase_if(pending, [&](const auto &address) { return pushTo(address, text, version); });
+        const auto view = readStates(options.entries, version);
+        if (view.complete() || steady::now() - begin >= options.timeout) {
+            printRollout(view, static_cast<std::uint64_t>(version), begin);
+            return view.complete() ? exit_ok : exit_failed;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+void printFaults(const std::string &source, const std::vector<config_fault> &faults)
+{
+    for (const auto &fault : faults) {
+        std::cerr << describeFault(source, fault) << "\n";
+    }
+}
+
+int reportStoreError(error_kind kind, const std::string &detail)
+{
+    const auto &row = answerFor(kind);
+    std::cerr << "bamboohead: " << row.name << ": " << row.message << " (" << detail << ")\n";
+    if (kind == error_kind::manifest_conflict) {
+        std::cerr << "bamboohead: read the manifest again, repeat the change on it, then apply\n";
+        return exit_conflict;
+    }
+    return kind == error_kind::store_outcome_unknown ? exit_unknown : exit_refused;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/commands/zone.cpp
@@ -0,0 +1,62 @@
+#include "bamboohead/commands.hpp"
+#include "manifest_change.hpp"
+
+#include <iostream>
+
+namespace bamboohead {
+
+namespace {
+
+int changeZone(const change_options &options, const std::string &zone, zone_state state)
+{
+    const auto store = makeToolClient(options);
+    const auto result = store->read(manifestKey);
+    if (const auto *error = std::get_if<store_error>(&result)) {
+        return reportStoreError(error->kind, error->detail);
+    }
+    const auto &held = std::get<store_value>(result);
+    if (held.modified == store_revision::none) {
+        std::cerr << "bamboohead: the store holds no manifest\n";
+        return exit_failed;
+    }
+    const auto changed = changeZoneState(held.text, zone, state);
+    if (const auto *faults = std::get_if<std::vector<config_fault>>(&changed)) {
+        printFaults("manifest", *faults);
+        return exit_failed;
+    }
+    const auto &text = std::get<std::string>(changed);
+    if (text == held.text) {
+        std::cout << "zone " << zone << " is " << toText(state) << " already\n";
+        return pushManifest(options, text,
+                            config_version{static_cast<std::uint64_t>(held.modified)});
+    }
+    return changeManifest(*store, options, text, held.modified);
+}
+
+int changeZone(int argc, char **argv, zone_state state)
+{
+    return runCommand(argc, argv, "Takes an availability zone out of service or back in.",
+                      [state](TCLAP::CmdLine &line, int count, char **values) {
+                          TCLAP::UnlabeledValueArg<std::string> zone{
+                                  "ZONE", "Name of the zone.", true, "", "ZONE", line};
+                          const change_arguments arguments{line};
+                          line.parse(count, values);
+                          return changeZone(arguments.options(), zone.getValue(), state);
+                      });
+}
+
+} // namespace
+
+int zoneCommand(int argc, char **argv)
+{
+    const std::string_view action{argc > 1 ? argv[1] : ""};
+    for (const auto state : {zone_state::in, zone_state::out}) {
+        if (action == toText(state)) {
+            return changeZone(argc - 1, argv + 1, state);
+        }
+    }
+    std::cerr << "usage: bamboohead zone out|in ZONE [ARGUMENTS]\n";
+    return exit_usage;
+}
+
+} // namespace bamboohead
