--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,5 +1,7 @@
 #include "commands.hpp"
 
+#include <chrono>
+#include <cinttypes>
 #include <cstdio>
 #include <string_view>
 
@@ -9,10 +11,19 @@
 
 int usage()
 {
-    std::fputs("usage: standins store|target [options]; --help lists the options\n", stderr);
+    std::fputs("usage: standins store|target|now [options]; --help lists the options\n", stderr);
     return usageError;
 }
 
+/// Prints the steady clock in microseconds, as in journals, for checkers.
+int printNow()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    const std::int64_t value = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+    std::printf("%" PRId64 "\n", value);
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -27,5 +38,5 @@
     if (command == "target") {
         return standins::targetCommand(argc - 1, argv + 1);
     }
-    return usage();
+    return command == "now" ? printNow() : usage();
 }
