Tell a fenced primary nothing but order_fenced; send the age of proofs

Cause: model/dispatch.pml showed that a fenced agent must not report a withdrawn order to the primary; a duplicate start order or a task query of the primary still got the order's state. The entry's heartbeats did not carry the age of the proof that the configuration is current.

Change: the agent answers every order and query of a fenced home from anybody but the backup with order_fenced. Heartbeats carry currency_age_us.

--- a/include/bamboohead/detail/agent/agent_implementation.hpp
+++ b/include/bamboohead/detail/agent/agent_implementation.hpp
@@ -96,6 +96,7 @@
     // Orders
     void handleOrder(const wire::TaskOrder &order, wire::Owner owner, bool covered,
                      const origin &from);
+    [[nodiscard]] bool fencedOff(const job_home &home, const origin &from) const;
     [[nodiscard]] bool ownerMaySend(const job_home &home, wire::Owner owner,
                                     incarnation_id sender) const;
     [[nodiscard]] error_kind refusalOf(const wire::TaskOrder &order, const task_ref &ref,
--- a/include/bamboohead/detail/entry/membership.hpp
+++ b/include/bamboohead/detail/entry/membership.hpp
@@ -35,6 +35,7 @@
     [[nodiscard]] std::uint32_t liveEntryCount() const noexcept { return m_liveEntries; }
 
 private:
+    void fillConfig(wire::EntryHeartbeat &heartbeat) const;
     void sendEntryHeartbeat(incarnation_id entry);
     void addMembers(google::protobuf::RepeatedPtrField<wire::Member> &out) const;
     void learn(const google::protobuf::RepeatedPtrField<wire::Member> &members);
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -34,6 +34,10 @@
                                              bool covered, const origin &from)
 {
     const auto ref = fromWire(order.ref());
+    if (fencedOff(ref.job.session.home, from)) {
+        answerFenced(ref, from);
+        return;
+    }
     if (const auto *known = m_tasks.find(ref)) {
         addUpdate(from.sender, toUpdate(*known), m_clock.now());
         return;
@@ -55,6 +59,13 @@
     addUpdate(from.sender, toUpdate(accepted), m_clock.now() + acceptanceDelay);
 }
 
+bool agent_core::implementation::fencedOff(const job_home &home, const origin &from) const
+{
+    // Anything but order_fenced could let a fenced primary start the task at another agent that is
+    // not fenced yet, while the backup counts the task as accepted here.
+    return m_tasks.fenced(home) && from.sender != home.backup;
+}
+
 bool agent_core::implementation::ownerMaySend(const job_home &home, wire::Owner owner,
                                               incarnation_id sender) const
 {
@@ -134,15 +145,15 @@
 
 void agent_core::implementation::queryOrder(const task_ref &ref, const origin &from)
 {
-    auto *order = m_tasks.find(ref);
     const auto &home = ref.job.session.home;
     const auto owner = m_tasks.fenced(home) ? home.backup : home.primary;
-    if (order == nullptr && from.sender == owner) {
-        refuseOrder(ref, error_kind::order_void, from);
+    if (from.sender != owner) {
+        answerFenced(ref, from);
         return;
     }
+    auto *order = m_tasks.find(ref);
     if (order == nullptr) {
-        answerFenced(ref, from);
+        refuseOrder(ref, error_kind::order_void, from);
         return;
     }
     if (order->state == order_state::queued && order->destination == from.sender) {
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -199,12 +199,19 @@
     }
 }
 
+void membership::fillConfig(wire::EntryHeartbeat &heartbeat) const
+{
+    heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
+    heartbeat.set_current(m_ctx.config.entryCurrent());
+    const auto age = m_ctx.config.entryProofAge();
+    heartbeat.set_currency_age_us(age ? static_cast<std::uint64_t>(age->count()) : 0);
+}
+
 void membership::sendEntryHeartbeat(incarnation_id entry)
 {
     wire::Envelope envelope;
     auto &heartbeat = *envelope.mutable_entry_heartbeat();
-    heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
-    heartbeat.set_current(m_ctx.config.entryCurrent());
+    fillConfig(heartbeat);
     heartbeat.set_draining(m_ctx.draining);
     if (m_sendMembers) {
         addMembers(*heartbeat.mutable_entries());
@@ -222,8 +229,7 @@
 {
     wire::Envelope envelope;
     auto &heartbeat = *envelope.mutable_entry_heartbeat();
-    heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
-    heartbeat.set_current(m_ctx.config.entryCurrent());
+    fillConfig(heartbeat);
     // Agents withdraw the credits of a draining entry, which still has to start its waiting tasks.
     heartbeat.set_draining(m_ctx.draining && m_ctx.queue.empty());
     const auto usage = m_ctx.credits.usageOf(agent.incarnation);
