Split the agent's tests by concern; test how target refusals and failures end

Cause: one test file had 700 lines, and the end of a task that the target refused had no test. Change: the fixture has its own header; tests of credits, announcements and membership are in agent_entries_test.cpp; one new case. No existing check was changed.

--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1,270 +1,11 @@
-#include "bamboohead/agent_core.hpp"
-#include "bamboohead/detail/agent/task_table.hpp"
+#include "agent_fixture.hpp"
 
-#include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <map>
-#include <optional>
-#include <unordered_map>
-
 using namespace bamboohead;
+using namespace bamboohead::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr incarnation_id agentId{900};
-constexpr incarnation_id primaryId{1};
-constexpr incarnation_id backupId{2};
-constexpr job_home home{primaryId, backupId};
-constexpr auto service = "tray-availability";
-constexpr auto zoneInText = R"({"zones": {"graz": {"state": "in"}},
-    "services": {"tray-availability": {"weight": 1}}, "teams": {}})";
-constexpr auto zoneOutText = R"({"zones": {"graz": {"state": "out"}},
-    "services": {"tray-availability": {"weight": 1}}, "teams": {}})";
-
-task_ref refOf(std::uint32_t task, std::uint32_t attempt = 1)
-{
-    return task_ref{job_id{session_id{home, 7}, 1}, task, attempt};
-}
-
-/// An agent with two slots, in service, and the entries that talk to it.
-class agent_fixture
-{
-public:
-    explicit agent_fixture(bool withTarget = true)
-        : m_core{{{agentId, "tcp://127.0.0.1:9", wire::ROLE_AGENT, "graz"}, {"seed"}, 1}, m_clock}
-    {
-        pushConfig(1, zoneInText);
-        settle();
-        if (!withTarget) {
-            return;
-        }
-        m_core.targetAnnounced({service, 2, target_state::ready});
-        settle();
-        // The first entry got all credits; it returns them when the agent recalls them.
-        for (int round = 0; round < 2; ++round) {
-            pass(510ms);
-            settle();
-        }
-    }
-
-    /// Lets both entries prove that they live, and the agent tell its credits.
-    void settle()
-    {
-        heartbeat(primaryId);
-        heartbeat(backupId);
-        tick();
-    }
-
-    void tick()
-    {
-        m_core.tick();
-        collect();
-    }
-
-    /// Time passes in steps with a living target, silent entries and a running agent.
-    void pass(duration time)
-    {
-        for (duration step{}; step < time; step += 10ms) {
-            m_clock.advance(10ms);
-            m_core.targetAnnounced({service, 2, target_state::ready});
-            tick();
-        }
-    }
-
-    wire::Envelope from(incarnation_id entry)
-    {
-        wire::Envelope envelope;
-        envelope.set_sender(static_cast<std::uint64_t>(entry));
-        envelope.set_receiver(static_cast<std::uint64_t>(agentId));
-        envelope.set_endpoint("tcp://" + toText(entry));
-        envelope.set_role(wire::ROLE_ENTRY);
-        envelope.set_zone("graz");
-        envelope.set_stamp_us(++m_stamp);
-        envelope.set_echo_us(toStamp(m_clock.now()));
-        return envelope;
-    }
-
-    void receive(const wire::Envelope &envelope)
-    {
-        m_core.receive(envelope);
-        collect();
-    }
-
-    wire::Envelope heartbeatOf(incarnation_id entry, std::uint64_t version)
-    {
-        auto envelope = from(entry);
-        auto &heartbeat = *envelope.mutable_entry_heartbeat();
-        heartbeat.set_config_version(version);
-        heartbeat.set_current(true);
-        heartbeat.set_credit_epoch(m_epoch[entry]);
-        heartbeat.set_used_total(m_used[entry]);
-        return envelope;
-    }
-
-    void heartbeat(incarnation_id entry) { receive(heartbeatOf(entry, m_version)); }
-
-    void pushConfig(std::uint64_t version, const std::string &text)
-    {
-        auto envelope = from(primaryId);
-        envelope.mutable_config_push()->set_version(version);
-        envelope.mutable_config_push()->set_manifest(text);
-        receive(envelope);
-        m_version = version;
-    }
-
-    /// A start message that uses one credit an order.
-    wire::Envelope startOf(const std::vector<task_ref> &refs,
-                           wire::Owner owner = wire::OWNER_PRIMARY)
-    {
-        const auto entry = owner == wire::OWNER_PRIMARY ? primaryId : backupId;
-        auto envelope = from(entry);
-        auto &start = *envelope.mutable_start_tasks();
-        start.set_owner(owner);
-        start.set_credit_epoch(m_epoch[entry]);
-        m_used[entry] += refs.size();
-        start.set_used_total(m_used[entry]);
-        for (const auto &ref : refs) {
-            auto &order = *start.add_orders();
-            toWire(ref, *order.mutable_ref());
-            order.set_service(service);
-            order.set_payload("payload");
-            order.set_remaining_us(10'000'000);
-        }
-        return envelope;
-    }
-
-    void start(const std::vector<task_ref> &refs, wire::Owner owner = wire::OWNER_PRIMARY)
-    {
-        receive(startOf(refs, owner));
-    }
-
-    void end(const task_ref &ref, const std::string &result = "result")
-    {
-        m_core.taskEnded({ref, false, false, result, 50ms});
-        collect();
-    }
-
-    void query(const task_ref &ref, incarnation_id sender = primaryId)
-    {
-        auto envelope = from(sender);
-        toWire(ref, *envelope.mutable_task_query()->add_refs());
-        receive(envelope);
-    }
-
-    void fence(incarnation_id sender = backupId)
-    {
-        auto envelope = from(sender);
-        toWire(home, *envelope.mutable_fence_request()->mutable_home());
-        receive(envelope);
-    }
-
-    void acknowledge(incarnation_id entry, const task_ref &ref)
-    {
-        auto envelope = from(entry);
-        toWire(ref, *envelope.mutable_update_ack()->add_refs());
-        receive(envelope);
-    }
-
-    /// The newest update that an entry got for an order.
-    std::optional<wire::TaskUpdate> update(const task_ref &ref, incarnation_id entry = primaryId)
-    {
-        const auto found = m_updates[entry].find(ref);
-        return found == m_updates[entry].end() ? std::nullopt : std::optional{found->second.back()};
-    }
-
-    std::size_t updateCount(const task_ref &ref, incarnation_id entry = primaryId)
-    {
-        return m_updates[entry][ref].size();
-    }
-
-    /// The reason of a refusal; `none` when the order was not refused.
-    error_kind refusal(const task_ref &ref, incarnation_id entry = primaryId)
-    {
-        const auto newest = update(ref, entry);
-        const bool refused = newest && newest->state() == wire::TASK_STATE_REFUSED;
-        return refused ? errorFromWire(newest->error()) : error_kind::none;
-    }
-
-    std::size_t starts(const task_ref &ref)
-    {
-        return static_cast<std::size_t>(std::ranges::count(m_started, ref));
-    }
-
-    agent_core &core() { return m_core; }
-    manual_clock &time() { return m_clock; }
-    std::uint64_t credits(incarnation_id entry) { return m_issued[entry] - m_used[entry]; }
-
-    std::vector<wire::Envelope> sent;
-    std::vector<wire::FenceReport> fenceReports;
-    bool stopped = false;
-    bool loseMessages = false;
-
-private:
-    using update_map =
-            std::unordered_map<task_ref, std::vector<wire::TaskUpdate>, detail::task_ref_hash>;
-
-    void collect()
-    {
-        for (auto &action : m_core.takeActions()) {
-            if (const auto *run = std::get_if<run_task>(&action)) {
-                m_started.push_back(run->ref);
-            }
-            stopped = stopped || std::holds_alternative<shutdown_complete>(action);
-            const auto *message = std::get_if<send_message>(&action);
-            if (message != nullptr && !loseMessages) {
-                note(message->envelope);
-            }
-        }
-    }
-
-    void note(const wire::Envelope &envelope)
-    {
-        sent.push_back(envelope);
-        const incarnation_id entry{envelope.receiver()};
-        for (const auto &update : envelope.task_updates().updates()) {
-            m_updates[entry][fromWire(update.ref())].push_back(update);
-        }
-        if (envelope.has_task_updates()) {
-            noteCredits(entry, envelope.task_updates().credit_epoch(),
-                        envelope.task_updates().issued_total());
-        }
-        if (envelope.has_agent_heartbeat()) {
-            noteCredits(entry, envelope.agent_heartbeat().credit_epoch(),
-                        envelope.agent_heartbeat().issued_total());
-            if (envelope.agent_heartbeat().recall()) {
-                m_used[entry] = m_issued[entry];
-            }
-        }
-        if (envelope.has_fence_report()) {
-            fenceReports.push_back(envelope.fence_report());
-        }
-    }
-
-    void noteCredits(incarnation_id entry, std::uint64_t epoch, std::uint64_t issued)
-    {
-        if (m_epoch[entry] != epoch) {
-            m_epoch[entry] = epoch;
-            m_used[entry] = 0;
-        }
-        m_issued[entry] = issued;
-    }
-
-    manual_clock m_clock;
-    agent_core m_core;
-    std::uint64_t m_stamp = 0;
-    std::uint64_t m_version = 1;
-    std::map<incarnation_id, std::uint64_t> m_epoch;
-    std::map<incarnation_id, std::uint64_t> m_issued;
-    std::map<incarnation_id, std::uint64_t> m_used;
-    std::map<incarnation_id, update_map> m_updates;
-    std::vector<task_ref> m_started;
-};
-
-} // namespace
-
 TEST_CASE_FIXTURE(agent_fixture, "an order is run once and its end is reported until acknowledged")
 {
     // Guards against lost results and against a second start by a repeated message.
@@ -531,28 +272,6 @@
     CHECK(agent.credits(backupId) == 0);
 }
 
-TEST_CASE_FIXTURE(agent_fixture, "orders beyond the credits or of an old epoch are refused")
-{
-    // Guards against more orders at an agent than slots + 2.
-    start({refOf(0), refOf(1), refOf(2)});
-    CHECK(refusal(refOf(2)) == error_kind::no_credit);
-    CHECK(starts(refOf(0)) + starts(refOf(1)) == 2);
-    auto oldEpoch = startOf({refOf(3)});
-    oldEpoch.mutable_start_tasks()->set_credit_epoch(99);
-    receive(oldEpoch);
-    CHECK(refusal(refOf(3)) == error_kind::no_credit);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "orders overtaken by their counter do not exceed the limit")
-{
-    // Guards against more than slots + 2 orders and credits when messages arrive out of order.
-    const auto overtaken = startOf({refOf(0), refOf(1)});
-    heartbeat(primaryId); // carries the used total; the agent issues these credits again
-    receive(overtaken);
-    CHECK(refusal(refOf(0)) == error_kind::no_credit);
-    CHECK(refusal(refOf(1)) == error_kind::no_credit);
-}
-
 TEST_CASE_FIXTURE(agent_fixture, "an order with the longest deadline runs")
 {
     // Guards against an overflow of the deadline, which refused such orders as expired.
@@ -563,126 +282,6 @@
     CHECK(starts(refOf(0)) == 1);
 }
 
-TEST_CASE_FIXTURE(agent_fixture, "an order sent with a withdrawn credit is refused")
-{
-    // Guards against an entry that goes on starting tasks with credits it has lost.
-    const auto onTheWay = startOf({refOf(0)});
-    for (const auto entry : {primaryId, backupId}) {
-        auto draining = heartbeatOf(entry, 1);
-        draining.mutable_entry_heartbeat()->set_draining(true);
-        receive(draining);
-        CHECK(credits(entry) == 0);
-    }
-    receive(onTheWay);
-    CHECK(refusal(refOf(0)) == error_kind::no_credit);
-    CHECK(starts(refOf(0)) == 0);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "a lost credit message is healed by the next one")
-{
-    // Guards against credits that are lost for ever with one message.
-    start({refOf(0), refOf(1)});
-    loseMessages = true;
-    end(refOf(0));
-    end(refOf(1));
-    loseMessages = false;
-    CHECK(credits(primaryId) == 0);
-    settle();
-    pass(510ms);
-    CHECK(credits(primaryId) + credits(backupId) == 4);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "a silent entry loses its credits to the others")
-{
-    // Guards against slots that stay idle because a dead entry holds their credits.
-    for (int i = 0; i < 5; ++i) {
-        heartbeat(backupId);
-        pass(500ms);
-    }
-    CHECK(credits(backupId) == 4);
-    CHECK(credits(primaryId) == 0);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "a freed credit is told at once to an entry with waiting tasks")
-{
-    // Guards against slots that stay idle until the next heartbeat.
-    start({refOf(0), refOf(1)});
-    auto waiting = heartbeatOf(backupId, 1);
-    auto &demand = *waiting.mutable_entry_heartbeat()->add_demand();
-    demand.set_service(service);
-    demand.set_waiting(9);
-    demand.set_oldest_age_us(200'000);
-    receive(waiting);
-    CHECK(credits(backupId) == 2);
-    end(refOf(0));
-    CHECK(credits(backupId) == 3);
-    CHECK(credits(primaryId) == 0);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "a short task costs the agent one message")
-{
-    // Guards against more than three messages a task between our processes.
-    sent.clear();
-    start({refOf(0)});
-    pass(50ms);
-    end(refOf(0));
-    REQUIRE(sent.size() == 1);
-    CHECK(sent.front().task_updates().updates_size() == 2);
-
-    acknowledge(primaryId, refOf(0));
-    start({refOf(1)});
-    pass(110ms); // a longer task is reported as accepted before its end
-    CHECK(update(refOf(1))->state() == wire::TASK_STATE_ACCEPTED);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "a leaving target is announced at once")
-{
-    // Guards against orders sent in the half second before the next heartbeat.
-    sent.clear();
-    core().targetAnnounced({service, 2, target_state::leaving});
-    tick();
-    const auto told = std::ranges::count_if(
-            sent, [](const auto &m) { return m.agent_heartbeat().leaving(); });
-    CHECK(told == 2);
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "an entry silent for 10 s is dropped unless others list it")
-{
-    // Guards against heartbeats to dead entries for ever, and against losing entries that are
-    // only cut off from this agent.
-    constexpr incarnation_id listedId{3};
-    const auto known = [this](incarnation_id id) {
-        return boost::json::serialize(core().dump().as_object().at("entries")).find(toText(id)) !=
-               std::string::npos;
-    };
-    for (int second = 0; second < 22; ++second) {
-        auto envelope = heartbeatOf(primaryId, 1);
-        envelope.mutable_entry_heartbeat()->add_entries()->set_incarnation(
-                static_cast<std::uint64_t>(listedId));
-        receive(envelope);
-        pass(500ms);
-    }
-    CHECK(known(primaryId));
-    CHECK(known(listedId));
-    CHECK_FALSE(known(backupId));
-}
-
-TEST_CASE_FIXTURE(agent_fixture, "an agent announces itself to six of many entries")
-{
-    // Guards against traffic that grows with the number of entries.
-    for (std::uint64_t entry = 10; entry < 30; ++entry) {
-        heartbeat(incarnation_id{entry});
-    }
-    pass(500ms);
-    sent.clear();
-    pass(500ms);
-    std::map<std::uint64_t, int> heartbeats;
-    for (const auto &envelope : sent) {
-        heartbeats[envelope.receiver()] += envelope.has_agent_heartbeat() ? 1 : 0;
-    }
-    CHECK(std::ranges::count_if(heartbeats, [](const auto &item) { return item.second > 0; }) == 6);
-}
-
 TEST_CASE_FIXTURE(agent_fixture, "a stopping agent ends its tasks and delivers their results")
 {
     // Guards against a planned stop that interrupts tasks or loses their results.
@@ -710,3 +309,22 @@
         CHECK(stopped);
     }
 }
+
+TEST_CASE_FIXTURE(agent_fixture,
+                  "a target's refusal is reported as not started, its failure as run")
+{
+    // Guards against calling a task not run that has run, and against keeping a task from other
+    // agents that has not.
+    start({refOf(0), refOf(1)});
+    core().taskEnded({refOf(0), true, false, "", 0ms});
+    core().taskEnded({refOf(1), false, true, "HTTP status 500", 50ms});
+    tick();
+    CHECK(refusal(refOf(0)) == error_kind::target_refused);
+    CHECK(update(refOf(1))->state() == wire::TASK_STATE_FAILED);
+    CHECK(errorFromWire(update(refOf(1))->error()) == error_kind::task_failed);
+    CHECK(update(refOf(1))->result() == "HTTP status 500");
+    settle();
+    start({refOf(0), refOf(0, 2)});
+    CHECK(starts(refOf(0)) == 1);
+    CHECK(starts(refOf(0, 2)) == 1);
+}
