--- a/tests/entry_fixture.cpp
+++ b/tests/entry_fixture.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr auto manifestText = R"({
+constexpr auto storedManifest = R"({
     "zones": {"graz": {"state": "in"}, "linz": {"state": "in"}, "wien": {"state": "out"}},
     "services": {"quote": {"weight": 1, "default_deadline_ms": 20000}},
     "teams": {"growers": {"weight": 1, "max_running": 100}}})";
@@ -15,6 +15,11 @@
 
 entry_fixture::entry_fixture() = default;
 
+std::string entry_fixture::manifestText()
+{
+    return storedManifest;
+}
+
 entry_core &entry_fixture::addEntry(std::uint64_t number, const std::string &zone)
 {
     entry_options options;
@@ -43,7 +48,9 @@
         const bool heartbeats = m_ticks++ % heartbeatTicks == 0;
         for (auto &[endpoint, core] : m_entries) {
             if (!m_dead.contains(endpoint)) {
-                core->storeRead(config_version{1}, manifestText, time.now());
+                if (storeReadable) {
+                    core->storeRead(config_version{1}, storedManifest, time.now());
+                }
                 core->tick();
             }
         }
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -84,7 +84,11 @@
     [[nodiscard]] job_answer answer(std::uint64_t request) const { return answers.at(request); }
     entry_core &entry(std::uint64_t number) { return *m_entries.at("e" + std::to_string(number)); }
 
+    /// @brief The manifest in the store: zones graz and linz in, wien out.
+    [[nodiscard]] static std::string manifestText();
+
     manual_clock time;
+    bool storeReadable = true;
     std::function<bool(const wire::Envelope &)> lose = [](const auto &) { return false; };
     std::map<std::uint64_t, job_answer> answers;
     std::set<std::uint64_t> stopped; ///< entries that completed their shutdown
--- a/tests/entry_takeover_test.cpp
+++ b/tests/entry_takeover_test.cpp
@@ -286,3 +286,45 @@
     settle();
     CHECK(acks == 0);
 }
+
+TEST_CASE_FIXTURE(three_entries, "the backup resumes a job only until its deadline")
+{
+    // Guards against a start after the agents may have forgotten what they ran.
+    graz.issued = linz.issued = 0;
+    submit(1, 4, job(session, 9, 20)); // uses up all credits
+    const auto before = graz.orders.size() + linz.orders.size();
+    auto timed = job(session, 1);
+    timed.deadline = 2500ms;
+    submit(1, 5, timed);
+    kill("e1");
+    graz.reports = false; // the takeover ends after the deadline
+    run(4s);
+    submit(3, 6, job(session, 1));
+    run(100ms);
+    REQUIRE(answered(6));
+    CHECK(answer(6).mayHaveRun);
+    CHECK(graz.orders.size() + linz.orders.size() == before);
+}
+
+TEST_CASE_FIXTURE(three_entries, "after a takeover the primary does not say \"not run\"")
+{
+    // Guards against "not run" for a job that the backup has resumed (R5, rule 8).
+    submit(1, 4, job(session, 9, 20)); // uses up all credits of entry 1
+    lose = [](const wire::Envelope &envelope) {
+        return envelope.sender() + envelope.receiver() == 3 && !envelope.has_record_put() &&
+               !envelope.has_record_close() && !envelope.has_record_close_ack();
+    };
+    run(1500ms);
+    auto timed = job(session, 1);
+    timed.deadline = 1500ms;
+    submit(1, 5, timed);
+    run(1200ms);
+    CHECK(entry(2).counters().takeovers == 1);
+    CHECK_FALSE(answered(5));
+    run(400ms);
+    CHECK_FALSE(answered(5)); // fenced by the acknowledgement; the backup is asked
+    lose = [](const auto &) { return false; };
+    run(4s);
+    REQUIRE(answered(5));
+    CHECK(answer(5).mayHaveRun);
+}
