Keep dead agents in the scope until their jobs' closes are acknowledged

Cause: a removal could reach the backup while a close was lost; a takeover then started the task of the open record again. The backup also sent orders to agents that it had not fenced, which refuse them, and a home reopened after its expiry started with a scope version below the backup's. Change: the removal of a dead agent waits for the acknowledged closes of the home, and does not happen after a close expired unacknowledged; the backup fences further agents before it uses them; scope versions start at the clock; expired homes are forgotten; a confirmed close is sent once.

--- a/include/bamboohead/detail/entry/dispatcher.hpp
+++ b/include/bamboohead/detail/entry/dispatcher.hpp
@@ -42,7 +42,7 @@
     void tellDemand();
 
     entry_context &m_ctx;
-    std::uint64_t m_round = 0;
+    std::uint64_t m_round = 1;
     std::map<std::string, std::map<job_home, std::uint32_t>, std::less<>> m_readyHomes;
     std::map<batch_key, wire::Envelope> m_batches;
     time_point m_demandChecked;
--- a/include/bamboohead/detail/entry/home_table.hpp
+++ b/include/bamboohead/detail/entry/home_table.hpp
@@ -17,7 +17,8 @@
     struct member
     {
         std::string endpoint;
-        std::uint64_t since = 0; ///< scope version that added the agent
+        std::uint64_t since = 0;                  ///< scope version that added the agent
+        std::optional<std::uint64_t> removeAfter; ///< held dead; the last close that concerns it
     };
 
     job_home home;
@@ -25,9 +26,14 @@
     std::uint64_t scopeVersion = 0;
     std::uint64_t ackedVersion = 0;
     time_point scopeSent;
+    time_point lastUsed;                       ///< when a session was opened
     std::optional<time_point> unansweredSince; ///< the backup left a record unanswered
+    std::uint64_t lastClose = 0;
+    bool closeLost = false; ///< a close was given up; the backup may hold the job's record for long
+    std::size_t removals = 0; ///< members that are held dead
     boost::unordered_flat_map<incarnation_id, member> scope;
     home_jobs jobs;
+    home_closes closes; ///< unacknowledged closes by closeOrder
 
     [[nodiscard]] bool hasBackup() const noexcept { return home.backup != incarnation_id::none; }
 
@@ -38,7 +44,8 @@
             return true;
         }
         const auto found = scope.find(agent);
-        return found != scope.end() && found->second.since <= ackedVersion;
+        return found != scope.end() && !found->second.removeAfter &&
+               found->second.since <= ackedVersion;
     }
 };
 
@@ -56,6 +63,12 @@
     time_point fenceSent;
     time_point lastUsed; ///< when a session of the home was last recorded
     home_jobs jobs;
+
+    /// @brief An agent takes the backup's orders only once it is fenced.
+    [[nodiscard]] bool usable(incarnation_id agent) const
+    {
+        return phase == takeover_phase::taken && reported.contains(agent);
+    }
 };
 
 /// @brief Homes of this entry by its part in them. Entries are never moved.
--- a/include/bamboohead/detail/entry/job_record.hpp
+++ b/include/bamboohead/detail/entry/job_record.hpp
@@ -76,6 +76,7 @@
     job_phase phase = job_phase::recording;
     home_owner owner = home_owner::primary;
     bool recordSent = false;
+    std::uint64_t closeOrder = 0; ///< place among the closes of the home; 0: not closed
     bool replicated = false;
     bool orderSent = false;
     bool queued = false; ///< in the ready queue
@@ -86,10 +87,11 @@
     std::vector<std::uint32_t> waiting; ///< indexes of waiting tasks; the last one starts next
     std::vector<waiter> waiters;
     job_answer answer;
-    list_hook phaseHook;   ///< list of `recording`, `closing` or `ended` jobs, by phaseSince
-    list_hook closeHook;   ///< closes without acknowledgement, by closeSent
-    list_hook homeHook;    ///< unfinished jobs of one home
-    set_hook deadlineHook; ///< unfinished jobs by deadline
+    list_hook phaseHook;     ///< list of `recording`, `closing` or `ended` jobs, by phaseSince
+    list_hook closeHook;     ///< closes without acknowledgement, by closeSent
+    list_hook homeHook;      ///< unfinished jobs of one home
+    list_hook homeCloseHook; ///< unacknowledged closes of one home, by closeOrder
+    set_hook deadlineHook;   ///< unfinished jobs by deadline
 
     [[nodiscard]] const job_id &id() const noexcept { return submission.id; }
     [[nodiscard]] const job_home &home() const noexcept { return submission.id.session.home; }
@@ -108,6 +110,11 @@
                         intrusive::member_hook<job_record, list_hook, &job_record::homeHook>,
                         intrusive::constant_time_size<false>>;
 
+using home_closes =
+        intrusive::list<job_record,
+                        intrusive::member_hook<job_record, list_hook, &job_record::homeCloseHook>,
+                        intrusive::constant_time_size<false>>;
+
 struct earlier_deadline
 {
     bool operator()(const job_record &a, const job_record &b) const noexcept
--- a/include/bamboohead/detail/entry/job_table.hpp
+++ b/include/bamboohead/detail/entry/job_table.hpp
@@ -68,6 +68,7 @@
     phase_list closing;
     close_list unacknowledgedCloses;
     deadline_set deadlines;
+    std::vector<job_home> lostCloses; ///< homes with a close that expired unacknowledged
 
 private:
     void expireSession(const session_id &id);
--- a/include/bamboohead/detail/entry/limits.hpp
+++ b/include/bamboohead/detail/entry/limits.hpp
@@ -8,6 +8,8 @@
 
 inline constexpr duration sessionValidity = std::chrono::minutes{10};
 inline constexpr duration outcomeRetention = std::chrono::minutes{20};
+/// @brief Longer deadlines are cut to this, which keeps sums of time points in range.
+inline constexpr duration maxDeadline = std::chrono::hours{24};
 inline constexpr duration answerRetention = std::chrono::seconds{60};
 
 // Liveness and ages (design 2.2)
--- a/include/bamboohead/detail/entry/record_keeper.hpp
+++ b/include/bamboohead/detail/entry/record_keeper.hpp
@@ -35,6 +35,11 @@
     void startUnreplicated(job_record &job);
     void sendClose(job_record &job);
     void sendFullScope(primary_home &home);
+    void sendScopeChange(primary_home &home, wire::Envelope envelope);
+    /// @brief Removes agents held dead from the scope once the closes of their jobs are
+    ///        acknowledged.
+    void removeDead(primary_home &home);
+    void forgetHomes();
     void timeOutRecords();
     void resendCloses();
     void resendScopes();
--- a/include/bamboohead/detail/entry/takeover.hpp
+++ b/include/bamboohead/detail/entry/takeover.hpp
@@ -24,7 +24,11 @@
     void sendFences(backup_home &home);
     void applyReport(incarnation_id agent, const wire::TaskUpdate &update);
     void finish(backup_home &home);
-    void resume(job_record &job, bool allReported);
+    void resume(job_record &job, bool complete);
+    [[nodiscard]] static bool allReported(const backup_home &home);
+    void sendFence(const backup_home &home, const std::string &endpoint, incarnation_id agent);
+    /// @brief Fences agents outside the scope, so that resumed jobs may use them too.
+    void fenceFurther(backup_home &home);
     [[nodiscard]] bool forgettable(const backup_home &home) const;
 
     entry_context &m_ctx;
--- a/src/entry/backup_keeper.cpp
+++ b/src/entry/backup_keeper.cpp
@@ -46,7 +46,9 @@
     if (m_ctx.jobs.find(id) != nullptr || session.ends.contains(id.number)) {
         return;
     }
-    const auto deadline = now + duration{static_cast<duration::rep>(put.remaining_us())};
+    const auto limit = static_cast<std::uint64_t>(maxDeadline.count());
+    const auto remaining = static_cast<duration::rep>(std::min(put.remaining_us(), limit));
+    const auto deadline = now + duration{remaining};
     auto &job = m_ctx.jobs.add(std::move(submission), home_owner::backup, now, deadline);
     for (auto &task : job.tasks) {
         task.attempt = firstBackupAttempt;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -81,14 +81,14 @@
 bool dispatcher::startNext(job_record &job)
 {
     const auto *home = m_ctx.homes.findPrimary(job.home());
-    // After a takeover the home has no further backup, so every agent may be used.
-    if (home == nullptr && !m_ctx.homes.takenOver(job.home())) {
+    const auto *taken = m_ctx.homes.findBackup(job.home());
+    if (home == nullptr && taken == nullptr) {
         return false;
     }
-    const auto allowed = [this, home](incarnation_id id) {
+    const auto allowed = [this, home, taken](incarnation_id id) {
         const auto agent = m_ctx.agents.find(id);
-        return agent != m_ctx.agents.end() && usable(agent->second) &&
-               (home == nullptr || home->usable(id));
+        const bool known = agent != m_ctx.agents.end() && usable(agent->second);
+        return known && (home == nullptr ? taken->usable(id) : home->usable(id));
     };
     const auto chosen = m_ctx.credits.take(job.submission.service, allowed);
     if (!chosen) {
--- a/src/entry/job_keeper.cpp
+++ b/src/entry/job_keeper.cpp
@@ -55,6 +55,7 @@
         home.home = id;
         m_ctx.records->homeOpened(home);
     }
+    home.lastUsed = m_ctx.now();
     return home;
 }
 
@@ -208,7 +209,8 @@
     const auto &settings = m_ctx.config.current().services.find(submission.service)->second;
     const bool stated = submission.deadline > duration{};
     const auto now = m_ctx.now();
-    const auto deadline = now + (stated ? submission.deadline : settings.defaultDeadline);
+    const auto timeLeft = stated ? submission.deadline : settings.defaultDeadline;
+    const auto deadline = now + std::min(timeLeft, maxDeadline);
     auto &job = m_ctx.jobs.add(std::move(submission), home_owner::primary, now, deadline);
     home.jobs.push_back(job);
     job.usage = static_cast<std::uint32_t>(job.tasks.size());
@@ -395,7 +397,7 @@
     for (const auto &held : waiters) {
         this->answer(held, job.answer);
     }
-    if (job.recordSent && !job.closeHook.is_linked()) {
+    if (job.recordSent && job.closeOrder == 0) {
         m_ctx.records->close(job);
     }
 }
--- a/src/entry/job_table.cpp
+++ b/src/entry/job_table.cpp
@@ -176,6 +176,9 @@
 {
     while (!m_ended.empty() && now - m_ended.front().phaseSince > answerRetention) {
         const auto id = m_ended.front().id();
+        if (m_ended.front().homeCloseHook.is_linked()) {
+            lostCloses.push_back(id.session.home);
+        }
         erase(id);
     }
     while (!m_sessionOrder.empty() && now - m_sessionOrder.front().first > outcomeRetention) {
--- a/src/entry/record_keeper.cpp
+++ b/src/entry/record_keeper.cpp
@@ -44,6 +44,12 @@
 
 void record_keeper::close(job_record &job)
 {
+    auto *home = m_ctx.homes.findPrimary(job.home());
+    if (home == nullptr) {
+        return;
+    }
+    job.closeOrder = ++home->lastClose;
+    home->closes.push_back(job);
     sendClose(job);
     m_ctx.jobs.unacknowledgedCloses.push_back(job);
 }
@@ -61,9 +67,10 @@
     if (!home.hasBackup()) {
         return;
     }
-    home.scopeVersion = 1;
+    // Above the versions of an earlier home of the same pair, which the backup may still hold.
+    home.scopeVersion = toStamp(m_ctx.now());
     for (const auto &[incarnation, agent] : m_ctx.agents) {
-        home.scope[incarnation] = primary_home::member{agent.endpoint, home.scopeVersion};
+        home.scope[incarnation] = primary_home::member{agent.endpoint, home.scopeVersion, {}};
     }
     sendFullScope(home);
 }
@@ -74,32 +81,72 @@
         if (!home.hasBackup()) {
             continue;
         }
-        home.scope[agent] = primary_home::member{endpoint, ++home.scopeVersion};
+        const auto held = home.scope.find(agent);
+        if (held != home.scope.end() && held->second.removeAfter) {
+            --home.removals;
+        }
+        home.scope[agent] = primary_home::member{endpoint, ++home.scopeVersion, {}};
         wire::Envelope envelope;
-        auto &update = *envelope.mutable_scope_update();
-        toWire(id, *update.mutable_home());
-        update.set_version(home.scopeVersion);
-        auto &added = *update.add_added();
+        auto &added = *envelope.mutable_scope_update()->add_added();
         added.set_incarnation(static_cast<std::uint64_t>(agent));
         added.set_endpoint(endpoint);
-        home.scopeSent = m_ctx.now();
-        m_ctx.out.send(id.backup, std::move(envelope));
+        sendScopeChange(home, std::move(envelope));
     }
 }
 
 void record_keeper::agentRemoved(incarnation_id agent)
 {
     for (auto &[id, home] : m_ctx.homes.primary) {
-        if (home.scope.erase(agent) == 0) {
-            continue;
+        const auto held = home.scope.find(agent);
+        if (held != home.scope.end() && !held->second.removeAfter) {
+            held->second.removeAfter = home.lastClose;
+            ++home.removals;
         }
-        wire::Envelope envelope;
-        auto &update = *envelope.mutable_scope_update();
-        toWire(id, *update.mutable_home());
-        update.set_version(++home.scopeVersion);
-        update.add_removed(static_cast<std::uint64_t>(agent));
-        home.scopeSent = m_ctx.now();
-        m_ctx.out.send(id.backup, std::move(envelope));
+    }
+    for (auto &[id, home] : m_ctx.homes.primary) {
+        removeDead(home);
+    }
+}
+
+void record_keeper::removeDead(primary_home &home)
+{
+    // A backup that holds an open record of a job with an order at the agent must fence the agent
+    // before it resumes that job, so the removal waits for the acknowledged closes.
+    for (const auto &lost : std::exchange(m_ctx.jobs.lostCloses, {})) {
+        if (auto *held = m_ctx.homes.findPrimary(lost)) {
+            held->closeLost = true;
+        }
+    }
+    if (home.removals == 0 || home.closeLost) {
+        return;
+    }
+    const auto oldest = home.closes.empty() ? home.lastClose + 1 : home.closes.front().closeOrder;
+    wire::Envelope envelope;
+    auto &update = *envelope.mutable_scope_update();
+    for (const auto &[incarnation, member] : home.scope) {
+        if (member.removeAfter && *member.removeAfter < oldest) {
+            update.add_removed(static_cast<std::uint64_t>(incarnation));
+        }
+    }
+    if (update.removed().empty()) {
+        return;
+    }
+    for (const auto incarnation : update.removed()) {
+        home.scope.erase(incarnation_id{incarnation});
+        --home.removals;
+    }
+    ++home.scopeVersion;
+    sendScopeChange(home, std::move(envelope));
+}
+
+void record_keeper::sendScopeChange(primary_home &home, wire::Envelope envelope)
+{
+    auto &update = *envelope.mutable_scope_update();
+    toWire(home.home, *update.mutable_home());
+    update.set_version(home.scopeVersion);
+    home.scopeSent = m_ctx.now();
+    if (m_ctx.alive(home.home.backup)) {
+        m_ctx.out.send(home.home.backup, std::move(envelope));
     }
 }
 
@@ -149,6 +196,7 @@
     }
     if (auto *job = m_ctx.jobs.find(id)) {
         job->closeHook.unlink();
+        job->homeCloseHook.unlink();
         if (!ack.taken_over()) {
             m_ctx.keeper->closeConfirmed(*job);
         }
@@ -166,7 +214,9 @@
         return;
     }
     if (!ack.taken_over()) {
-        home->ackedVersion = std::max(home->ackedVersion, ack.version());
+        const bool known = ack.version() <= home->scopeVersion;
+        home->ackedVersion =
+                known ? std::max(home->ackedVersion, ack.version()) : home->ackedVersion;
         return;
     }
     m_ctx.keeper->homeFenced(id);
@@ -186,8 +236,10 @@
     while (!closes.empty() && m_ctx.now() - closes.front().closeSent >= closeResendInterval) {
         auto &job = closes.front();
         closes.pop_front();
+        closes.push_back(job);
+        job.closeSent = m_ctx.now();
         if (m_ctx.alive(job.home().backup)) {
-            close(job);
+            sendClose(job);
         }
     }
 }
@@ -195,6 +247,7 @@
 void record_keeper::resendScopes()
 {
     for (auto &[id, home] : m_ctx.homes.primary) {
+        removeDead(home);
         const bool due = m_ctx.now() - home.scopeSent >= scopeResendInterval;
         const bool open = home.hasBackup() && home.ackedVersion != home.scopeVersion;
         if (due && open && m_ctx.alive(id.backup)) {
@@ -203,6 +256,14 @@
     }
 }
 
+void record_keeper::forgetHomes()
+{
+    std::erase_if(m_ctx.homes.primary, [this](const auto &held) {
+        const auto &home = held.second;
+        return home.jobs.empty() && m_ctx.now() - home.lastUsed > outcomeRetention;
+    });
+}
+
 void record_keeper::tick()
 {
     timeOutRecords();
@@ -212,6 +273,7 @@
     m_nextSweep = m_ctx.now() + sweepInterval / 2;
     resendCloses();
     resendScopes();
+    forgetHomes();
 }
 
 } // namespace bamboohead::detail
--- a/src/entry/shutdown.cpp
+++ b/src/entry/shutdown.cpp
@@ -18,8 +18,10 @@
 
 bool shutdown::drained() const
 {
-    return m_ctx.jobs.unfinished() == 0 && m_ctx.forwards->pending() == 0 &&
-           m_ctx.jobs.unacknowledgedCloses.empty();
+    const bool closesPending =
+            std::ranges::any_of(m_ctx.jobs.unacknowledgedCloses,
+                                [this](const auto &job) { return m_ctx.alive(job.home().backup); });
+    return m_ctx.jobs.unfinished() == 0 && m_ctx.forwards->pending() == 0 && !closesPending;
 }
 
 void shutdown::sendHomeStopping()
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -32,9 +32,30 @@
         if (home.reported.contains(agent)) {
             continue;
         }
-        wire::Envelope envelope;
-        toWire(home.home, *envelope.mutable_fence_request()->mutable_home());
-        m_ctx.out.sendTo(endpoint, agent, std::move(envelope));
+        sendFence(home, endpoint, agent);
+    }
+}
+
+void takeover::sendFence(const backup_home &home, const std::string &endpoint, incarnation_id agent)
+{
+    wire::Envelope envelope;
+    toWire(home.home, *envelope.mutable_fence_request()->mutable_home());
+    m_ctx.out.sendTo(endpoint, agent, std::move(envelope));
+}
+
+bool takeover::allReported(const backup_home &home)
+{
+    return std::ranges::all_of(
+            home.scope, [&home](const auto &agent) { return home.reported.contains(agent.first); });
+}
+
+void takeover::fenceFurther(backup_home &home)
+{
+    home.fenceSent = m_ctx.now();
+    for (const auto &[incarnation, agent] : m_ctx.agents) {
+        if (!home.reported.contains(incarnation)) {
+            sendFence(home, agent.endpoint, incarnation);
+        }
     }
 }
 
@@ -42,8 +63,8 @@
 {
     const auto id = fromWire(report.home());
     auto *home = m_ctx.homes.findBackup(id);
-    if (home == nullptr || home->phase != takeover_phase::fencing ||
-        !home->scope.contains(sender) || !home->reported.insert(sender).second) {
+    if (home == nullptr || home->phase == takeover_phase::standby ||
+        !home->reported.insert(sender).second || home->phase == takeover_phase::taken) {
         return;
     }
     for (const auto &task : report.tasks()) {
@@ -51,7 +72,7 @@
             applyReport(sender, task);
         }
     }
-    if (home->reported.size() == home->scope.size()) {
+    if (allReported(*home)) {
         finish(*home);
     }
 }
@@ -73,7 +94,7 @@
 void takeover::finish(backup_home &home)
 {
     home.phase = takeover_phase::taken;
-    const bool allReported = home.reported.size() == home.scope.size();
+    const bool complete = allReported(home);
     m_ctx.out.log("takeover_end", {{"primary", toText(home.home.primary)},
                                    {"reported", std::to_string(home.reported.size())},
                                    {"agents", std::to_string(home.scope.size())}});
@@ -83,20 +104,20 @@
     }
     for (const auto &id : unfinished) {
         if (auto *job = m_ctx.jobs.find(id); job != nullptr && job->phase == job_phase::fencing) {
-            resume(*job, allReported);
+            resume(*job, complete);
         }
     }
     m_ctx.forwards->homeTaken(home.home);
 }
 
-void takeover::resume(job_record &job, bool allReported)
+void takeover::resume(job_record &job, bool complete)
 {
     if (job.finished == job.tasks.size()) {
         m_ctx.keeper->complete(job);
         return;
     }
     // A task that an unreported agent may have started must not be started again.
-    if (!job.waiting.empty() && !allReported) {
+    if (!job.waiting.empty() && !complete) {
         m_ctx.keeper->fail(job, error_kind::outcome_unknown);
         return;
     }
@@ -144,6 +165,8 @@
             } else if (now - home.fenceSent >= fenceResendInterval) {
                 sendFences(home);
             }
+        } else if (!home.jobs.empty() && now - home.fenceSent >= fenceResendInterval) {
+            fenceFurther(home);
         }
         position = forgettable(home) ? m_ctx.homes.backup.erase(position) : std::next(position);
     }
--- a/tests/entry_takeover_test.cpp
+++ b/tests/entry_takeover_test.cpp
@@ -328,3 +328,51 @@
     REQUIRE(answered(5));
     CHECK(answer(5).mayHaveRun);
 }
+
+TEST_CASE_FIXTURE(three_entries, "a dead agent stays in the scope until its jobs are closed")
+{
+    // Guards against a second start after the agent's death, a lost close and a takeover: the
+    // backup would hold an open record and know of no agent that might have run the task (R1).
+    lose = [](const wire::Envelope &envelope) { return envelope.has_record_close(); };
+    submit(1, 5, job(session, 1));
+    REQUIRE(graz.orders.size() + linz.orders.size() == 1);
+    auto &used = graz.orders.empty() ? linz : graz;
+    kill(used.endpoint);
+    run(3s);
+    CHECK(answer(5).error == error_kind::outcome_unknown);
+    kill("e1");
+    run(4s);
+    submit(3, 6, job(session, 1));
+    REQUIRE(answered(6));
+    CHECK(answer(6).error == error_kind::outcome_unknown);
+    CHECK(resumed() == 0);
+}
+
+TEST_CASE_FIXTURE(three_entries, "a dead agent leaves the scope once its jobs are closed")
+{
+    // Guards against takeovers that wait for agents that are long gone.
+    submit(1, 5, job(session, 1));
+    auto &used = graz.orders.empty() ? linz : graz;
+    kill(used.endpoint);
+    run(3s);
+    auto &other = graz.orders.empty() ? graz : linz;
+    other.issued = 0;
+    submit(1, 6, job(session, 2, 25));
+    kill("e1");
+    run(2500ms);
+    CHECK(resumed() == 10);
+}
+
+TEST_CASE_FIXTURE(three_entries, "the backup uses an agent only after fencing it")
+{
+    // Guards against orders that an unfenced agent refuses, and against unused agents.
+    submitAndKill(25);
+    auto &late = addAgent(13, "linz");
+    late.reports = false;
+    run(3s);
+    CHECK(late.orders.empty());
+    late.reports = true;
+    run(400ms);
+    CHECK(late.fences >= 1);
+    CHECK(late.orders.size() == 5);
+}
