--- a/include/bamboohead/detail/entry/dispatcher.hpp
+++ b/include/bamboohead/detail/entry/dispatcher.hpp
@@ -2,8 +2,6 @@
 
 #include "bamboohead/detail/entry/context.hpp"
 
-#include <set>
-
 namespace bamboohead::detail {
 
 /// @brief Places waiting tasks on agents while there are credits, and batches the orders.
@@ -30,7 +28,7 @@
     [[nodiscard]] bool hasDemand(std::string_view service) const;
 
 private:
-    using batch_key = std::pair<incarnation_id, job_home>;
+    using home_batch = std::pair<job_home, wire::Envelope>;
 
     void place(const std::string &service);
     /// @brief Starts the next task of the job. @return False when no agent takes it now.
@@ -43,8 +41,11 @@
 
     entry_context &m_ctx;
     std::uint64_t m_round = 1;
-    std::map<std::string, std::map<job_home, std::uint32_t>, std::less<>> m_readyHomes;
-    std::map<batch_key, wire::Envelope> m_batches;
+    wire::StartTasks &batchOf(incarnation_id agent, const job_home &home);
+
+    /// @brief Number of jobs with waiting tasks by service and home.
+    std::map<std::string, std::unordered_map<job_home, std::uint32_t>, std::less<>> m_readyHomes;
+    std::map<incarnation_id, std::vector<home_batch>> m_batches;
     time_point m_demandChecked;
 };
 
--- a/include/bamboohead/detail/entry/forwarder.hpp
+++ b/include/bamboohead/detail/entry/forwarder.hpp
@@ -63,7 +63,7 @@
     entry_context &m_ctx;
     std::uint64_t m_lastRequest = 0;
     std::unordered_map<std::uint64_t, pending_forward> m_pending;
-    std::map<waiter, std::uint64_t> m_byCaller;
+    std::unordered_map<waiter, std::uint64_t, waiter_hash> m_byCaller;
     sent_list m_sent;
 };
 
--- a/include/bamboohead/detail/entry/job_record.hpp
+++ b/include/bamboohead/detail/entry/job_record.hpp
@@ -23,7 +23,17 @@
     std::uint64_t request = 0;
     bool wait = true; ///< false: answer as soon as the job is accepted
 
-    auto operator<=>(const waiter &) const = default;
+    bool operator==(const waiter &) const = default;
+};
+
+struct waiter_hash
+{
+    std::size_t operator()(const waiter &held) const noexcept
+    {
+        constexpr std::uint64_t spread = 0x9e3779b97f4a7c15ULL;
+        const auto entry = static_cast<std::uint64_t>(held.entry);
+        return (entry * spread) ^ (held.request * 2 + (held.wait ? 1U : 0U));
+    }
 };
 
 enum class task_phase : std::uint8_t { waiting, ordered, finished };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -98,6 +98,16 @@
     return true;
 }
 
+wire::StartTasks &dispatcher::batchOf(incarnation_id agent, const job_home &home)
+{
+    auto &batches = m_batches[agent];
+    auto found = std::ranges::find(batches, home, &home_batch::first);
+    if (found == batches.end()) {
+        found = batches.insert(batches.end(), home_batch{home, {}});
+    }
+    return *found->second.mutable_start_tasks();
+}
+
 void dispatcher::order(job_record &job, agent_record &agent)
 {
     auto &task = job.tasks[job.waiting.back()];
@@ -106,7 +116,7 @@
         job.queued = false; // the queue dropped the job with its last task
         countReady(job, -1);
     }
-    auto &start = *m_batches[{agent.incarnation, job.home()}].mutable_start_tasks();
+    auto &start = batchOf(agent.incarnation, job.home());
     start.set_owner(toWire(job.owner));
     auto &order = *start.add_orders();
     bamboohead::toWire(task_ref{job.id(), task.index, task.attempt}, *order.mutable_ref());
@@ -128,7 +138,7 @@
 void dispatcher::place(const std::string &service)
 {
     auto &readyHomes = m_readyHomes[service];
-    std::set<job_home> blocked;
+    std::unordered_set<job_home> blocked;
     std::vector<job_record *> parked;
     while (m_ctx.credits.available(service) > 0 && blocked.size() < readyHomes.size()) {
         const auto id = m_ctx.queue.pop(service, m_ctx.now());
@@ -154,16 +164,18 @@
 
 void dispatcher::sendBatches()
 {
-    for (auto &[key, envelope] : m_batches) {
-        const auto agent = m_ctx.agents.find(key.first);
-        const auto usage = m_ctx.credits.usageOf(key.first);
-        auto &start = *envelope.mutable_start_tasks();
-        start.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
-        start.set_credit_epoch(usage.epoch);
-        start.set_used_total(usage.usedTotal);
-        fillDemand(*start.mutable_demand());
-        agent->second.demandTold = hasDemand(agent->second.load.service);
-        m_ctx.out.send(key.first, std::move(envelope));
+    for (auto &[incarnation, batches] : m_batches) {
+        auto &agent = m_ctx.agents.find(incarnation)->second;
+        agent.demandTold = hasDemand(agent.load.service);
+        const auto usage = m_ctx.credits.usageOf(incarnation);
+        for (auto &[home, envelope] : batches) {
+            auto &start = *envelope.mutable_start_tasks();
+            start.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
+            start.set_credit_epoch(usage.epoch);
+            start.set_used_total(usage.usedTotal);
+            fillDemand(*start.mutable_demand());
+            m_ctx.out.send(incarnation, std::move(envelope));
+        }
     }
     m_batches.clear();
 }
--- a/tests/entry_fixture.cpp
+++ b/tests/entry_fixture.cpp
@@ -39,11 +39,11 @@
     return *slot;
 }
 
-void entry_fixture::run(duration time_)
+void entry_fixture::run(duration total)
 {
     constexpr duration tick = std::chrono::milliseconds{10};
     constexpr std::uint64_t heartbeatTicks = 10;
-    for (duration passed{}; passed < time_; passed += tick) {
+    for (duration passed{}; passed < total; passed += tick) {
         time.advance(tick);
         const bool heartbeats = m_ticks++ % heartbeatTicks == 0;
         for (auto &[endpoint, core] : m_entries) {
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -69,7 +69,7 @@
     void kill(const std::string &endpoint) { m_dead.insert(endpoint); }
 
     /// @brief Advances in ticks of 10 ms and delivers all messages.
-    void run(duration time);
+    void run(duration total);
     /// @brief Delivers messages until none is left.
     void settle();
     void send(hand_agent &from, std::uint64_t entry, wire::Envelope envelope);
