Send agents the age of the entry's currency proof

Cause: proofs passed from entry to agent added up. Change: heartbeats to agents carry the age; the test uses the limit of 2 s.

--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -224,6 +224,8 @@
     auto &heartbeat = *envelope.mutable_entry_heartbeat();
     heartbeat.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
     heartbeat.set_current(m_ctx.config.entryCurrent());
+    const auto proofAge = m_ctx.config.entryProofAge().value_or(duration{});
+    heartbeat.set_currency_age_us(static_cast<std::uint64_t>(proofAge.count()));
     // Agents withdraw the credits of a draining entry, which still has to start its waiting tasks.
     heartbeat.set_draining(m_ctx.draining && m_ctx.queue.empty());
     const auto usage = m_ctx.credits.usageOf(agent.incarnation);
--- a/tests/entry_currency_test.cpp
+++ b/tests/entry_currency_test.cpp
@@ -28,7 +28,7 @@
     CHECK(agent.orders.size() == 10);
     storeReadable = false;
     agent.issued = 15;
-    run(2900ms);
+    run(1900ms);
     CHECK(agent.orders.size() == 15);
     run(200ms);
     agent.issued = 20;
