--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/detail/agent/agent_implementation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bamboohead {
@@ -136,7 +137,11 @@
     }
     // A version that differs from the held one proves nothing about the held one.
     if (heartbeat.current() && version == m_config.version() && from.fresh(currencyLimit)) {
-        m_config.currentEntryHeard(m_clock.now() - *from.age);
+        // No proof is older than the limit; the bound keeps the sum with `age` in range.
+        const auto proofAge = std::min<std::uint64_t>(
+                heartbeat.currency_age_us(), static_cast<std::uint64_t>(currencyLimit.count()) + 1);
+        m_config.currentEntryHeard(m_clock.now() - *from.age,
+                                   duration{static_cast<duration::rep>(proofAge)});
     }
     m_credits.use(from.sender, heartbeat.credit_epoch(), heartbeat.used_total());
     onDemand(heartbeat.demand(), from);
