Name the last log line of a process apart from the core's

Cause: the core and the process both logged event=stopped. Change: the process logs event=process_ended.

--- a/src/adapters/agent_process.cpp
+++ b/src/adapters/agent_process.cpp
@@ -68,7 +68,7 @@
             }};
     loop.run();
     server.stop();
-    logLine(log_level::info, "stopped", {});
+    logLine(log_level::info, "process_ended", {});
 }
 
 } // namespace bamboohead
--- a/src/adapters/entry_process.cpp
+++ b/src/adapters/entry_process.cpp
@@ -109,7 +109,7 @@
     loop.run();
     callers.clear();
     server.stop();
-    logLine(log_level::info, "stopped", {});
+    logLine(log_level::info, "process_ended", {});
 }
 
 } // namespace bamboohead
