Name the log line of a received stop signal apart from the core's

Cause: the core and the control loop both logged event=stopping. Change: the control loop logs event=stop_requested. Run: compiles; no other effect. Conclusion: each event has one source.

--- a/include/bamboohead/runtime.hpp
+++ b/include/bamboohead/runtime.hpp
@@ -179,7 +179,7 @@
     void stop()
     {
         if (!m_parts.draining.exchange(true)) {
-            logLine(log_level::info, "stopping", {});
+            logLine(log_level::info, "stop_requested", {});
             m_parts.core.stop();
         }
     }
