--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/detail/agent/agent_implementation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bamboohead {
