--- a/src/entry/job_keeper.cpp
+++ b/src/entry/job_keeper.cpp
@@ -16,14 +16,6 @@
     return answer;
 }
 
-job_answer notRunAnswer(const job_id &id, error_kind kind)
-{
-    auto answer = errorAnswer(id, kind);
-    answer.outcome = job_outcome::refused;
-    answer.mayHaveRun = false;
-    return answer;
-}
-
 } // namespace
 
 incarnation_id job_keeper::chooseBackup() const
@@ -199,7 +191,7 @@
     // Final: a late copy of the refused request must not start the job.
     m_ctx.jobs.recordEnd(submission.id, job_end{submission.hash, kind, job_outcome::refused, false},
                          m_ctx.now());
-    const auto refusal = notRunAnswer(submission.id, kind);
+    const auto refusal = errorAnswer(submission.id, kind);
     count(refusal);
     answer(caller, refusal);
 }
@@ -312,134 +304,4 @@
     m_ctx.dispatch->enqueue(job);
 }
 
-void job_keeper::releaseUsage(job_record &job)
-{
-    if (job.usage > 0) {
-        m_ctx.admit.usageChanged(job.submission.team, -static_cast<std::int64_t>(job.usage));
-        job.usage = 0;
-    }
-}
-
-void job_keeper::fail(job_record &job, error_kind kind, std::string detail)
-{
-    auto failure = errorAnswer(job.id(), kind);
-    if (!detail.empty()) {
-        failure.message += ": " + detail;
-    }
-    end(job, std::move(failure));
-}
-
-void job_keeper::complete(job_record &job)
-{
-    job_answer result;
-    result.id = job.id();
-    result.outcome = job_outcome::complete;
-    result.results.reserve(job.tasks.size());
-    for (auto &task : job.tasks) {
-        result.results.push_back(std::move(task.result));
-    }
-    end(job, std::move(result));
-}
-
-void job_keeper::abandon(job_record &job, error_kind kind)
-{
-    const bool nothingOrdered = job.owner == home_owner::primary && !job.orderSent;
-    if (!nothingOrdered) {
-        fail(job, kind);
-    } else if (!job.recordSent) {
-        end(job, notRunAnswer(job.id(), kind));
-    } else {
-        startClosing(job, kind);
-    }
-}
-
-void job_keeper::startClosing(job_record &job, error_kind kind)
-{
-    // Until the backup confirms that it will not resume the job, "not run" cannot be said.
-    m_ctx.dispatch->dequeue(job);
-    releaseUsage(job);
-    m_ctx.jobs.enter(job, job_phase::closing, m_ctx.now());
-    job.answer = notRunAnswer(job.id(), kind);
-    m_ctx.records->close(job);
-}
-
-void job_keeper::closeConfirmed(job_record &job)
-{
-    if (job.phase == job_phase::closing) {
-        auto confirmed = std::move(job.answer);
-        end(job, std::move(confirmed));
-    }
-}
-
-void job_keeper::count(const job_answer &answer)
-{
-    if (answer.outcome == job_outcome::complete) {
-        ++m_ctx.counters.jobsComplete;
-    } else if (answer.outcome == job_outcome::failed) {
-        ++m_ctx.counters.jobsFailed;
-    } else {
-        ++m_ctx.counters.jobsRefused;
-    }
-}
-
-void job_keeper::end(job_record &job, job_answer answer)
-{
-    m_ctx.dispatch->dequeue(job);
-    releaseUsage(job);
-    count(answer);
-    if (answer.outcome != job_outcome::complete) {
-        m_ctx.out.log("job_failed", {{"job", toText(job.id())},
-                                     {"outcome", std::string{toText(answer.outcome)}},
-                                     {"error", std::string{answerFor(answer.error).name}}});
-    }
-    const auto waiters = std::move(job.waiters);
-    m_ctx.jobs.end(job, std::move(answer), m_ctx.now());
-    for (const auto &held : waiters) {
-        this->answer(held, job.answer);
-    }
-    if (job.recordSent && job.closeOrder == 0) {
-        m_ctx.records->close(job);
-    }
-}
-
-void job_keeper::homeFenced(const job_home &home)
-{
-    auto *held = m_ctx.homes.findPrimary(home);
-    if (held == nullptr) {
-        return;
-    }
-    m_ctx.out.log("home_fenced",
-                  {{"primary", toText(home.primary)}, {"backup", toText(home.backup)}});
-    m_ctx.homes.fenced.insert(home);
-    std::vector<std::pair<job_id, std::vector<waiter>>> dropped;
-    while (!held->jobs.empty()) {
-        auto &job = held->jobs.front();
-        m_ctx.dispatch->dequeue(job);
-        releaseUsage(job);
-        dropped.emplace_back(job.id(), std::move(job.waiters));
-        m_ctx.jobs.erase(dropped.back().first);
-    }
-    m_ctx.homes.primary.erase(home);
-    for (const auto &[id, waiters] : dropped) {
-        for (const auto &caller : waiters) {
-            m_localWaiters.erase(caller.entry == incarnation_id::none ? caller.request : 0);
-            m_ctx.forwards->query(caller, id);
-        }
-    }
-}
-
-void job_keeper::tick()
-{
-    const auto now = m_ctx.now();
-    auto &jobs = m_ctx.jobs;
-    while (!jobs.deadlines.empty() && jobs.deadlines.begin()->deadline <= now) {
-        abandon(*jobs.deadlines.begin(), error_kind::deadline_exceeded);
-    }
-    while (!jobs.closing.empty() && now - jobs.closing.front().phaseSince >= closeConfirmTimeout) {
-        auto &job = jobs.closing.front();
-        fail(job, job.answer.error);
-    }
-    jobs.expire(now);
-}
-
 } // namespace bamboohead::detail
