Answer a fenced primary with order_fenced only; count the age of the entry's proof

A fenced primary that queried or repeated an order which had been accepted and later withdrawn was told that it was not started, and could have started it elsewhere while the backup did the same. Change: the owner of the home is checked before an order is looked up; heartbeats pass currency_age_us on. The late-heartbeat test uses shorter times, for the limit of 2 s.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -136,7 +136,8 @@
     }
     // A version that differs from the held one proves nothing about the held one.
     if (heartbeat.current() && version == m_config.version() && from.fresh(currencyLimit)) {
-        m_config.currentEntryHeard(m_clock.now() - *from.age);
+        m_config.currentEntryHeard(m_clock.now() - *from.age,
+                                   durationFromWire(heartbeat.currency_age_us()));
     }
     m_credits.use(from.sender, heartbeat.credit_epoch(), heartbeat.used_total());
     onDemand(heartbeat.demand(), from);
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -34,15 +34,15 @@
                                              bool covered, const origin &from)
 {
     const auto ref = fromWire(order.ref());
-    if (const auto *known = m_tasks.find(ref)) {
-        addUpdate(from.sender, toUpdate(*known), m_clock.now());
-        return;
-    }
     if (!ownerMaySend(ref.job.session.home, owner, from.sender)) {
         ++m_counters.ordersRefused;
         answerFenced(ref, from);
         return;
     }
+    if (const auto *known = m_tasks.find(ref)) {
+        addUpdate(from.sender, toUpdate(*known), m_clock.now());
+        return;
+    }
     const auto refusal = refusalOf(order, ref, covered, from);
     if (refusal != error_kind::none) {
         refuseOrder(ref, refusal, from);
@@ -134,15 +134,17 @@
 
 void agent_core::implementation::queryOrder(const task_ref &ref, const origin &from)
 {
-    auto *order = m_tasks.find(ref);
     const auto &home = ref.job.session.home;
     const auto owner = m_tasks.fenced(home) ? home.backup : home.primary;
-    if (order == nullptr && from.sender == owner) {
-        refuseOrder(ref, error_kind::order_void, from);
+    // A fenced primary that is told "not started" would start the task at an agent that is not
+    // fenced yet, while the backup counts it as accepted here.
+    if (from.sender != owner) {
+        answerFenced(ref, from);
         return;
     }
+    auto *order = m_tasks.find(ref);
     if (order == nullptr) {
-        answerFenced(ref, from);
+        refuseOrder(ref, error_kind::order_void, from);
         return;
     }
     if (order->state == order_state::queued && order->destination == from.sender) {
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -136,6 +136,27 @@
     CHECK(update(refOf(1), backupId)->state() == wire::TASK_STATE_FINISHED);
 }
 
+TEST_CASE_FIXTURE(agent_fixture, "a fenced primary learns nothing of an order's end")
+{
+    // Guards against a double start: the primary would start a task that it is told was refused at
+    // another agent, while the backup, which was told of its acceptance, starts it as well.
+    auto again = startOf({refOf(0)});
+    receive(again);
+    fence();
+    core().taskEnded({refOf(0), true, false, "", 0ms});
+    tick();
+    CHECK(refusal(refOf(0), backupId) == error_kind::target_refused);
+    SUBCASE("by a query")
+    {
+        query(refOf(0));
+    }
+    SUBCASE("by a repeated order")
+    {
+        receive(again);
+    }
+    CHECK(refusal(refOf(0)) == error_kind::order_fenced);
+}
+
 TEST_CASE_FIXTURE(agent_fixture, "an order that arrives after a query for it is void")
 {
     // Guards against starting a task that the entry was told is not started.
@@ -222,9 +243,21 @@
 {
     // Guards against counting the time that a message spent in queues as proven.
     const auto late = heartbeatOf(primaryId, 1);
-    pass(2s);
+    pass(1500ms);
     receive(late);
-    pass(1100ms);
+    pass(600ms);
+    start({refOf(0)});
+    CHECK(refusal(refOf(0)) == error_kind::agent_not_current);
+}
+
+TEST_CASE_FIXTURE(agent_fixture, "the age of the entry's own proof counts against the limit")
+{
+    // Guards against proofs that add up when they are passed from the store to entry to agent.
+    pass(1500ms);
+    auto heartbeat = heartbeatOf(primaryId, 1);
+    heartbeat.mutable_entry_heartbeat()->set_currency_age_us(1'500'000);
+    receive(heartbeat);
+    pass(600ms);
     start({refOf(0)});
     CHECK(refusal(refOf(0)) == error_kind::agent_not_current);
 }
