--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -34,7 +34,8 @@
                                              bool covered, const origin &from)
 {
     const auto ref = fromWire(order.ref());
-    if (fencedOff(ref.job.session.home, from)) {
+    if (!ownerMaySend(ref.job.session.home, owner, from.sender)) {
+        ++m_counters.ordersRefused;
         answerFenced(ref, from);
         return;
     }
@@ -42,11 +43,6 @@
         addUpdate(from.sender, toUpdate(*known), m_clock.now());
         return;
     }
-    if (!ownerMaySend(ref.job.session.home, owner, from.sender)) {
-        ++m_counters.ordersRefused;
-        answerFenced(ref, from);
-        return;
-    }
     const auto refusal = refusalOf(order, ref, covered, from);
     if (refusal != error_kind::none) {
         refuseOrder(ref, refusal, from);
@@ -59,13 +55,6 @@
     addUpdate(from.sender, toUpdate(accepted), m_clock.now() + acceptanceDelay);
 }
 
-bool agent_core::implementation::fencedOff(const job_home &home, const origin &from) const
-{
-    // Anything but order_fenced could let a fenced primary start the task at another agent that is
-    // not fenced yet, while the backup counts the task as accepted here.
-    return m_tasks.fenced(home) && from.sender != home.backup;
-}
-
 bool agent_core::implementation::ownerMaySend(const job_home &home, wire::Owner owner,
                                               incarnation_id sender) const
 {
@@ -147,6 +136,8 @@
 {
     const auto &home = ref.job.session.home;
     const auto owner = m_tasks.fenced(home) ? home.backup : home.primary;
+    // A fenced primary that is told "not started" would start the task at an agent that is not
+    // fenced yet, while the backup counts it as accepted here.
     if (from.sender != owner) {
         answerFenced(ref, from);
         return;
