Let agents prove that their zone is heard; tell them of new entries at once

Cause: in a store outage an entry counted only zones in which it heard other entries. With entries in fewer zones than targets, or after one entry died, it stopped all work although it heard the agents of most zones. Separately, agents asked for the list of entries only each 10 s, so an entry that started with the fleet knew 6 to 8 of 10 agents for its first 8 s.

--- a/include/bamboohead/config_state.hpp
+++ b/include/bamboohead/config_state.hpp
@@ -31,8 +31,9 @@
     /// @brief A store read that was sent at `sentAt` showed `version`.
     void storeConfirmed(config_version version, time_point sentAt);
 
-    /// @brief An entry of `zone` proved that it lived at `echo` (own clock).
-    void entryHeard(const std::string &zone, time_point echo);
+    /// @brief An entry or agent of `zone` that holds this process's version proved that it lived at
+    ///        `echo` (own clock).
+    void zoneHeard(const std::string &zone, time_point echo);
 
     /// @brief A current entry that holds this process's version was heard.
     /// @param echo Own clock's stamp that the entry echoed.
@@ -40,8 +41,8 @@
     ///        limit, so that proofs passed from process to process do not add up.
     void currentEntryHeard(time_point echo, duration proofAge);
 
-    /// @brief Whether an entry may start tasks: the store confirmed the held version, or entries of
-    ///        more than half of the zones were heard, within `currencyLimit`.
+    /// @brief Whether an entry may start tasks: the store confirmed the held version, or processes
+    ///        of more than half of the zones were heard, within `currencyLimit`.
     [[nodiscard]] bool entryCurrent() const;
 
     /// @brief Age of the newest proof that the held version is current.
--- a/include/bamboohead/detail/entry/membership.hpp
+++ b/include/bamboohead/detail/entry/membership.hpp
@@ -41,6 +41,10 @@
     void learn(const google::protobuf::RepeatedPtrField<wire::Member> &members);
     void takeLoad(agent_record &agent, const wire::AgentHeartbeat &heartbeat);
     void pullIfNewer(incarnation_id sender, std::uint64_t version);
+    /// @brief Counts a process that holds the own version as a proof for its zone (design 2.3).
+    void countZone(const wire::Envelope &envelope, config_version version);
+    /// @brief Tells the agents of a new entry; they would ask for it only after helloInterval.
+    void sendMembersToAgents();
     void sendHellos();
     void heartbeatEntries();
     void heartbeatAgents();
--- a/src/config_state.cpp
+++ b/src/config_state.cpp
@@ -35,7 +35,7 @@
     }
 }
 
-void config_state::entryHeard(const std::string &zone, time_point echo)
+void config_state::zoneHeard(const std::string &zone, time_point echo)
 {
     auto &proof = m_zoneProofs[zone];
     proof = std::max(proof, echo);
@@ -86,7 +86,7 @@
     std::vector<time_point> proofs;
     std::size_t zonesIn = 0;
     for (const auto &[zone, state] : m_manifest.zones) {
-        // Entries of a zone that is out may be gone, so that zone cannot be required.
+        // Processes of a zone that is out may be gone, so that zone cannot be required.
         if (state == zone_state::out) {
             continue;
         }
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -102,10 +102,14 @@
         usage[team.team()] = team.running();
     }
     m_ctx.admit.peerUsage(sender, std::move(usage));
-    if (state.version > m_ctx.config.version()) {
-        pullIfNewer(sender, heartbeat.config_version());
-    } else if (envelope.echo_us() != 0) {
-        m_ctx.config.entryHeard(envelope.zone(), fromStamp(envelope.echo_us()));
+    pullIfNewer(sender, heartbeat.config_version());
+    countZone(envelope, state.version);
+}
+
+void membership::countZone(const wire::Envelope &envelope, config_version version)
+{
+    if (version == m_ctx.config.version() && envelope.echo_us() != 0) {
+        m_ctx.config.zoneHeard(envelope.zone(), fromStamp(envelope.echo_us()));
     }
 }
 
@@ -130,6 +134,7 @@
 {
     const incarnation_id sender{envelope.sender()};
     pullIfNewer(sender, heartbeat.config_version());
+    countZone(envelope, config_version{heartbeat.config_version()});
     const bool ready = !heartbeat.service().empty() && m_ctx.alive(sender);
     if (!ready) {
         return;
@@ -284,6 +289,15 @@
     }
 }
 
+void membership::sendMembersToAgents()
+{
+    for (const auto &[incarnation, agent] : m_ctx.agents) {
+        wire::Envelope envelope;
+        addMembers(*envelope.mutable_member_list()->mutable_entries());
+        m_ctx.out.send(incarnation, std::move(envelope));
+    }
+}
+
 void membership::forgetSilentAgents()
 {
     for (const auto *peer : m_ctx.links.peers(wire::ROLE_AGENT)) {
@@ -313,6 +327,7 @@
     }
     if (m_liveEntries > liveBefore) {
         m_membersSent = {}; // passes a new entry on at once
+        sendMembersToAgents();
     }
     for (const auto incarnation : silent) {
         m_ctx.entries.erase(incarnation);
--- a/tests/entry_currency_test.cpp
+++ b/tests/entry_currency_test.cpp
@@ -64,6 +64,40 @@
     }
 }
 
+TEST_CASE_FIXTURE(entry_fixture, "agents of most zones keep an entry current without the store")
+{
+    // Guards against a stop of all work in a store outage after the other entries have died.
+    addEntry(1, "graz");
+    auto &near = addAgent(11, "graz");
+    auto &far = addAgent(12, "linz");
+    run(1s);
+    storeReadable = false;
+    SUBCASE("while they hold the entry's version")
+    {
+        run(10s);
+        submit(1, 5, job(open(1), 1));
+        CHECK(near.orders.size() + far.orders.size() == 1);
+    }
+    SUBCASE("but not when they hold another version")
+    {
+        far.version = 0;
+        run(10s);
+        submit(1, 5, job(open(1), 1));
+        CHECK(answer(5).error == error_kind::not_current);
+    }
+}
+
+TEST_CASE_FIXTURE(entry_fixture, "agents are told of a new entry at once")
+{
+    // Guards against an entry that gets no share of the credits for its first ten seconds.
+    addEntry(1, "graz");
+    auto &agent = addAgent(11, "graz");
+    run(1s);
+    addEntry(2, "linz");
+    run(1s);
+    CHECK(agent.members == 2);
+}
+
 TEST_CASE_FIXTURE(entry_fixture, "a pushed configuration reaches the other entries at once")
 {
     // Guards against an accepted configuration that stays with one entry (R9).
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -51,6 +51,8 @@
     std::uint32_t fences = 0;
     std::uint32_t queries = 0;
     std::uint32_t acks = 0;
+    std::uint64_t version = 1; ///< of the configuration that it reports
+    int members = 0;           ///< entries in the newest list that it got
     std::vector<wire::TaskOrder> orders;
     std::vector<wire::Owner> owners;    ///< one an order
     std::vector<wire::TaskUpdate> held; ///< content of its fence reports
