Give settings and manifest one rule for names

Settings allowed zones with _ or 64 characters that no manifest can name, so such a process could never be in service. Both now use isManifestName(). The new test fails with the former rule.

--- a/include/bamboohead/manifest.hpp
+++ b/include/bamboohead/manifest.hpp
@@ -15,6 +15,12 @@
 /// @brief Size limit of a manifest; the store takes values of at most 1 MB.
 inline constexpr std::size_t maxManifestBytes = 1'000'000;
 
+/// @brief Longest name of a zone, service or team, in characters.
+inline constexpr std::size_t maxManifestNameLength = 63;
+
+/// @brief Whether a text can name a zone, service or team: 1 to 63 of a-z, 0-9 and -.
+[[nodiscard]] bool isManifestName(std::string_view text) noexcept;
+
 /// @brief Whether operators have an availability zone in service.
 enum class zone_state : std::uint8_t { in, out };
 
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/settings.hpp"
 
+#include "bamboohead/manifest.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -9,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t maxNameLength = 64;
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxSeeds = 16;
 constexpr std::int64_t maxStoreAddresses = 8;
@@ -21,14 +22,6 @@
 constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 3> policyNames{"credits", "random", "two_choices"};
 
-bool isName(std::string_view text)
-{
-    const auto allowed = [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
-    };
-    return !text.empty() && text.size() <= maxNameLength && std::ranges::all_of(text, allowed);
-}
-
 bool isEndpoint(std::string_view text)
 {
     return text.starts_with(endpointScheme) && isAddress(text.substr(endpointScheme.size()));
@@ -143,8 +136,8 @@
 std::vector<setting_description> commonSettings()
 {
     return {
-            textSetting("/zone", "", "1 to 64 of a-z, 0-9, - and _",
-                        "Availability zone of the process.", isName,
+            textSetting("/zone", "", "1 to 63 of a-z, 0-9 and -",
+                        "Availability zone of the process.", isManifestName,
                         [](auto &settings, auto value) { settings.zone = std::move(value); }),
             textSetting("/endpoint", "", "tcp://host:port",
                         "ZeroMQ endpoint that the process binds and that others connect to.",
--- a/src/manifest.cpp
+++ b/src/manifest.cpp
@@ -16,7 +16,6 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t maxNameLength = 63;
 constexpr std::size_t maxShownLength = 60; ///< characters of a wrong value in a message
 constexpr int maxDepth = 16;
 constexpr std::array<std::string_view, 2> zoneStateNames{"in", "out"};
@@ -44,15 +43,6 @@
     return text;
 }
 
-bool validName(std::string_view name)
-{
-    const auto allowed = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') ||
-               letter == '-';
-    };
-    return !name.empty() && name.size() <= maxNameLength && std::ranges::all_of(name, allowed);
-}
-
 /// Reads a parsed manifest and collects its faults.
 class manifest_reader
 {
@@ -133,7 +123,7 @@
         for (const auto &member : *table) {
             const std::string name{member.key()};
             const auto memberPath = detail::appendPointer(path, name);
-            if (!validName(name)) {
+            if (!isManifestName(name)) {
                 fault(memberPath, "found the name " + shown(json::value(name)) +
                                           "; allowed: 1 to 63 of a-z, 0-9 and -");
             }
@@ -241,6 +231,16 @@
 
 } // namespace
 
+bool isManifestName(std::string_view name) noexcept
+{
+    const auto allowed = [](char letter) {
+        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') ||
+               letter == '-';
+    };
+    return !name.empty() && name.size() <= maxManifestNameLength &&
+           std::ranges::all_of(name, allowed);
+}
+
 std::string_view toText(zone_state state) noexcept
 {
     return zoneStateNames.at(static_cast<std::size_t>(state));
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -32,6 +32,17 @@
 
 } // namespace
 
+TEST_CASE("a zone that no manifest can name is a fault")
+{
+    // Guards against a process whose zone can never be taken in service.
+    const std::string tooLong(maxManifestNameLength + 1, 'a');
+    for (const auto &zone : {std::string{"graz_1"}, tooLong}) {
+        const auto faults =
+                faultsOf(R"({"endpoint": "tcp://127.0.0.1:7001", "zone": ")" + zone + R"("})");
+        CHECK(findFault(faults, "/zone") != nullptr);
+    }
+}
+
 // Guards against settings that are read but not applied.
 TEST_CASE("valid settings are taken over, absent ones get their defaults")
 {
