Tell agents of a new entry at once

An entry that started 0.3 s after the agents knew no target for up to 10 s and refused all jobs, no_target.

Change: an entry that sees a further live entry sends its member list to its agents.

--- a/include/bamboohead/detail/entry/membership.hpp
+++ b/include/bamboohead/detail/entry/membership.hpp
@@ -38,6 +38,9 @@
     void fillConfig(wire::EntryHeartbeat &heartbeat) const;
     void sendEntryHeartbeat(incarnation_id entry);
     void addMembers(google::protobuf::RepeatedPtrField<wire::Member> &out) const;
+    /// @brief Tells all agents the live entries, so that a new one need not wait for their next
+    /// hello.
+    void listForAgents();
     void learn(const google::protobuf::RepeatedPtrField<wire::Member> &members);
     void takeLoad(agent_record &agent, const wire::AgentHeartbeat &heartbeat);
     void pullIfNewer(incarnation_id sender, std::uint64_t version);
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -72,6 +72,15 @@
     }
 }
 
+void membership::listForAgents()
+{
+    for (const auto &[incarnation, agent] : m_ctx.agents) {
+        wire::Envelope envelope;
+        addMembers(*envelope.mutable_member_list()->mutable_entries());
+        m_ctx.out.send(incarnation, std::move(envelope));
+    }
+}
+
 void membership::pullIfNewer(incarnation_id sender, std::uint64_t version)
 {
     if (config_version{version} <= m_ctx.config.version() ||
@@ -313,6 +322,7 @@
     }
     if (m_liveEntries > liveBefore) {
         m_membersSent = {}; // passes a new entry on at once
+        listForAgents();
     }
     for (const auto incarnation : silent) {
         m_ctx.entries.erase(incarnation);
