Give the stranded job of the test a deadline beyond the limit

Cause: the test's job ended by its deadline of 10 s before the limit for stranded jobs. Run: the test passes; it fails when endStranded is not called (checked next to the other switches).

--- a/tests/entry_home_test.cpp
+++ b/tests/entry_home_test.cpp
@@ -59,7 +59,9 @@
         sendUpdate(first, 1, first.update(order, wire::TASK_STATE_FINISHED, "g"));
     }
     REQUIRE(answered(4));
-    submit(1, 5, job(session, 2));
+    auto waiting = job(session, 2);
+    waiting.deadline = 60s;
+    submit(1, 5, waiting);
     strand();
     CHECK_FALSE(answered(5));
     run(11s);
