--- a/standins/target_server.cpp
+++ b/standins/target_server.cpp
@@ -14,6 +14,7 @@
 constexpr int keepAliveSeconds = 5;
 constexpr int notStartedStatus = 503;
 constexpr int failedStatus = 500;
+constexpr std::string_view failMark = "fail=1"; ///< in a payload: fails on every target
 constexpr std::chrono::seconds announceInterval{1};
 constexpr std::chrono::milliseconds announceTimeout{500};
 constexpr std::chrono::milliseconds startPoll{1};
@@ -123,7 +124,7 @@
                           m_options.port);
     std::this_thread::sleep_for(runTime(request.body));
     --m_running;
-    if (held.failAll) {
+    if (held.failAll || request.body.find(failMark) != std::string::npos) {
         response.status = failedStatus;
         return;
     }
--- /dev/null
+++ b/tests/lib/fleet.sh
@@ -0,0 +1,169 @@
+# A small system of real processes for the failure checks: the store stand-in, 4 entries, and one
+# agent with a target of 4 slots in each of 4 zones. Sourced from the project's root by
+# tests/checks/*, which set `base` (first of 400 ports) before and pass BUILD_DIR.
+
+binary="$1/bamboohead"
+standins="$1/standins"
+work="$(mktemp -d)"
+. scripts/lib/workload.sh
+agents=4
+slots=4
+log_level=warning
+use_workload verband
+zone_grace_us=4500000 # R3: bound of docs/design.md 2.3 for starts in a zone taken out
+patience_s=30         # limit of each wait for a condition; a pass needs far less
+job_pids=()
+job_names=()
+job_tasks=()
+tasks_per_job=16
+payload_end=""
+service="${services[0]}"
+failures=0
+
+# Kills instead of asking: a process that is stopped by SIGSTOP would not end.
+finish() {
+    local code=$? pid
+    for pid in $(jobs -p); do
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null
+    if [ "$code" -eq 0 ]; then
+        rm -r "$work"
+    else
+        echo "logs and journal: $work"
+    fi
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+expect() { # name, arithmetic condition, detail
+    if (($2)); then
+        echo "expect name=$1 result=passed $3"
+    else
+        echo "expect name=$1 result=failed condition=\"$2\" $3"
+        failures=$((failures + 1))
+    fi
+}
+
+now_us() { "$standins" now; }
+
+wait_until() { # description, command that succeeds when the condition holds
+    local what="$1" limit=$((SECONDS + patience_s))
+    shift
+    until "$@"; do
+        if ((SECONDS >= limit)); then
+            echo "not reached in $patience_s s: $what"
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+begin_fleet() {
+    : >"$work/journal"
+    start_system
+    "$binary" manifest apply "examples/$workload/manifest.json" --store "$store" \
+        --entries "$entry_list" >"$work/apply.out" 2>&1
+    wait_for_targets
+}
+
+entry_at() { echo "127.0.0.1:$((base + 10 + $1))"; }
+
+# Addresses of all entries, the given one first.
+entries_from() { # entry number
+    local i list=""
+    for ((i = 0; i < entries; i++)); do
+        list+="${list:+,}$(entry_at $((($1 - 1 + i) % entries + 1)))"
+    done
+    echo "$list"
+}
+
+# Jobs of one phase held by all entries, copies included.
+jobs_in_phase() { # phase
+    local i
+    for ((i = 1; i <= entries; i++)); do
+        state_of "$(entry_at "$i")" | grep -o "\"$1\":[0-9]*" || true
+    done | awk -F: '{ n += $2 } END { print n + 0 }'
+}
+
+# True when each job is held by its primary and by its backup.
+jobs_copied() { # number of jobs
+    (($(jobs_in_phase running) + $(jobs_in_phase record) + $(jobs_in_phase ended) >= 2 * $1))
+}
+
+# Sends a request to a stand-in's admin interface.
+admin() { # port offset, path, JSON
+    curl -sf -X PUT "http://127.0.0.1:$((base + $1))/admin/$2" -d "$3" >"$work/curl.log"
+}
+
+state_of() { # address
+    "$binary" state --process "$1" 2>/dev/null || true
+}
+
+# Submits jobs in the background; the caller of a job tries the entries in turn.
+# Uses tasks_per_job and payload_end (appended to each payload).
+submit_jobs() { # name, number of jobs, run time of a task in ms, entries
+    local i tasks="" job="$work/$1.json"
+    for ((i = 0; i < tasks_per_job; i++)); do
+        tasks+="{\"payload\": \"run_ms=$3;part=$i$payload_end\"},"
+    done
+    echo "{\"team\": \"$team\", \"service\": \"$service\", \"deadline_ms\": 30000," \
+        "\"tasks\": [${tasks%,}]}" >"$job"
+    for ((i = 1; i <= $2; i++)); do
+        "$binary" submit --entry "$4" --job "$job" >"$work/$1-$i.answer" 2>"$work/$1-$i.err" &
+        pids+=("$!")
+        job_pids+=("$!")
+        job_names+=("$1-$i")
+        job_tasks+=("$tasks_per_job")
+    done
+}
+
+# Waits for the jobs submitted since the last call. Sets jobs, complete (whole answers), tasks
+# (of all jobs) and others (name, exit code and error kind of each job without a whole answer).
+wait_for_jobs() {
+    local i code answer
+    jobs=${#job_pids[@]}
+    complete=0
+    tasks=0
+    others=""
+    for i in "${!job_pids[@]}"; do
+        code=0
+        wait "${job_pids[$i]}" || code=$?
+        answer="$work/${job_names[$i]}.answer"
+        tasks=$((tasks + job_tasks[i]))
+        if [ "$code" -eq 0 ] && [ "$(grep -o 'run_ms=' "$answer" | wc -l)" -eq "${job_tasks[$i]}" ]; then
+            complete=$((complete + 1))
+        else
+            others+=" ${job_names[$i]}:$code:$(grep -o '"kind":"[a-z_]*"' "$answer" | cut -d'"' -f4)"
+        fi
+    done
+    job_pids=()
+    job_names=()
+    job_tasks=()
+}
+
+starts_between() { # label or "all", from, to
+    awk -v zone="$1" -v from="$2" -v to="$3" \
+        '$1 >= from && $1 < to && (zone == "all" || $5 == zone) { n++ } END { print n + 0 }' \
+        "$work/journal"
+}
+
+count_starts() { wc -l <"$work/journal"; }
+
+started_at_least() { (($(count_starts) >= $1)); }
+
+# Tasks that the targets started more than once.
+count_repeated() {
+    awk '{ n[$2 " " $3]++ } END { for (t in n) if (n[t] > 1) r++; print r + 0 }' "$work/journal"
+}
+
+# The checks that hold in every test in which no job may be lost.
+expect_all_complete() {
+    wait_for_jobs
+    local starts repeated
+    starts="$(count_starts)"
+    repeated="$(count_repeated)"
+    expect all_complete "complete == jobs && jobs > 0" "jobs=$jobs complete=$complete others=$others"
+    expect none_twice "repeated == 0" "repeated=$repeated"
+    expect each_task_once "starts == tasks" "starts=$starts tasks=$tasks"
+}
