--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -59,7 +59,21 @@
     done
 }
 
+# Two HTTP servers can share a port without an error, which would mix two systems.
+ports_free() {
+    local i offset
+    for i in 1 2 3 4; do
+        for offset in 10 20 40 100 200 300; do
+            if (exec 3<>"/dev/tcp/127.0.0.1/$((base + offset + i))") 2>/dev/null; then
+                echo "port $((base + offset + i)) is in use; set BASE_PORT"
+                return 1
+            fi
+        done
+    done
+}
+
 begin_fleet() {
+    ports_free
     : >"$work/journal"
     start_system
     "$binary" manifest apply "examples/$workload/manifest.json" --store "$store" \
