Refuse new jobs of a gracefully stopped entry as not run

Cause: after a planned stop the backup answered every new id of the stopped entry's sessions with outcome_unknown, because it could not tell them from jobs whose record was lost.

Change: once the backup has acknowledged the close of every job of the home, home_stopping lists the home's open sessions, and the backup refuses new ids of these sessions with 'stopping'. A primary that dies before that leaves the answer as it was.

The schedule now accepts only 'stopping' there. The new unit test fails without the list of sessions.

--- a/include/bamboohead/detail/entry/job_table.hpp
+++ b/include/bamboohead/detail/entry/job_table.hpp
@@ -23,7 +23,8 @@
 struct session_record
 {
     session_id id;
-    time_point opened; ///< at the backup: when its first record arrived
+    time_point opened;       ///< at the backup: when its first record arrived
+    bool handedOver = false; ///< at the backup: an id without a record never ran and never will
     boost::unordered_flat_map<std::uint64_t, job_end> ends;
     std::vector<std::uint64_t> records; ///< backup: numbers of jobs recorded, for their removal
 };
@@ -40,6 +41,9 @@
     /// @brief The session, opened at `now` when it is not held yet.
     session_record &openSession(const session_id &id, time_point now);
     [[nodiscard]] session_record *findSession(const session_id &id);
+    /// @brief Sessions of a home that were opened at `since` or later.
+    [[nodiscard]] std::vector<std::uint64_t> sessionsOf(const job_home &home,
+                                                        time_point since) const;
 
     /// @brief Adds a job with one task record a payload, all waiting.
     job_record &add(job_submission submission, home_owner owner, time_point now,
--- a/src/entry/job_keeper.cpp
+++ b/src/entry/job_keeper.cpp
@@ -115,7 +115,12 @@
     auto *home = m_ctx.homes.findPrimary(id.session.home);
     if (home == nullptr || !sessionLives(id)) {
         // A backup never starts a job without a record.
-        answerUnknown(caller, id, error_kind::outcome_unknown);
+        const auto *session = m_ctx.jobs.findSession(id.session);
+        if (session != nullptr && session->handedOver) {
+            refuse(caller, submission, error_kind::stopping);
+        } else {
+            answerUnknown(caller, id, error_kind::outcome_unknown);
+        }
         return;
     }
     ++m_ctx.counters.jobsSubmitted;
--- a/src/entry/job_table.cpp
+++ b/src/entry/job_table.cpp
@@ -50,6 +50,17 @@
     return found == m_sessions.end() ? nullptr : &found->second;
 }
 
+std::vector<std::uint64_t> job_table::sessionsOf(const job_home &home, time_point since) const
+{
+    std::vector<std::uint64_t> found;
+    for (const auto &[id, session] : m_sessions) {
+        if (id.home == home && session.opened >= since) {
+            found.push_back(id.value);
+        }
+    }
+    return found;
+}
+
 job_record &job_table::add(job_submission submission, home_owner owner, time_point now,
                            time_point deadline)
 {
--- a/src/entry/shutdown.cpp
+++ b/src/entry/shutdown.cpp
@@ -31,7 +31,14 @@
             continue;
         }
         wire::Envelope envelope;
-        toWire(id, *envelope.mutable_home_stopping()->mutable_home());
+        auto &stopping = *envelope.mutable_home_stopping();
+        toWire(id, *stopping.mutable_home());
+        const bool allEndsKnown = home.jobs.empty() && home.closes.empty() && !home.closeLost &&
+                                  m_ctx.jobs.lostCloses.empty();
+        if (allEndsKnown) {
+            const auto open = m_ctx.jobs.sessionsOf(id, m_ctx.now() - sessionValidity);
+            stopping.mutable_sessions()->Assign(open.begin(), open.end());
+        }
         m_ctx.out.send(id.backup, std::move(envelope));
     }
     m_sent = m_ctx.now();
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -138,6 +138,9 @@
         home.lastUsed = m_ctx.now();
         begin(home, "primary_stopping");
     }
+    for (const auto session : stopping.sessions()) {
+        m_ctx.jobs.openSession(session_id{id, session}, m_ctx.now()).handedOver = true;
+    }
     wire::Envelope reply;
     toWire(id, *reply.mutable_scope_ack()->mutable_home());
     reply.mutable_scope_ack()->set_taken_over(true);
--- a/tests/entry_takeover_test.cpp
+++ b/tests/entry_takeover_test.cpp
@@ -267,6 +267,37 @@
     CHECK(answer(7).results.size() == 25);
 }
 
+TEST_CASE_FIXTURE(three_entries,
+                  "after a graceful stop new jobs of a session are refused as not run")
+{
+    // Guards against an unknown outcome for jobs that were submitted after a planned stop (R8).
+    const auto second = open(1);
+    entry(1).stop();
+    SUBCASE("when the backup knows the end of every job")
+    {
+        run(1s);
+        REQUIRE(stopped.contains(1));
+        kill("e1");
+        run(3s);
+        submit(3, 7, job(session, 1));
+        submit(2, 8, job(second, 1));
+        run(1s);
+        for (const auto request : {7, 8}) {
+            CHECK(answer(request).error == error_kind::stopping);
+            CHECK_FALSE(answer(request).mayHaveRun);
+        }
+    }
+    SUBCASE("but not when the primary died before it handed over")
+    {
+        kill("e1");
+        run(4s);
+        submit(3, 7, job(session, 1));
+        run(1s);
+        CHECK(answer(7).error == error_kind::outcome_unknown);
+    }
+    CHECK(graz.orders.size() + linz.orders.size() == 0);
+}
+
 TEST_CASE_FIXTURE(three_entries, "a record or scope that waited in a queue is not acknowledged")
 {
     // Guards against a backup that acknowledges what it received before it was frozen (2.2).
--- a/tests/schedule/schedule_run.cpp
+++ b/tests/schedule/schedule_run.cpp
@@ -143,11 +143,9 @@
             if (answer.error == error_kind::not_current) {
                 return m_restarted == answer.id.session.home.primary;
             }
-            // A backup that took over never starts a job without a record (design 2.1), so jobs
-            // that are submitted after the stop in a session of the stopped entry do not run.
-            const bool unstarted = answer.error == error_kind::stopping ||
-                                   answer.error == error_kind::outcome_unknown;
-            return unstarted && !m_evidence.anyStarted(answer.id) &&
+            // Jobs that are submitted after the stop in a session of the stopped entry are
+            // refused as not run, by the entry itself or by its backup (design 2.1).
+            return answer.error == error_kind::stopping && !m_evidence.anyStarted(answer.id) &&
                    answer.id.session.home.primary == m_disturbedIncarnation &&
                    submitted > m_disturbedAt - 100ms;
         }
