--- a/include/bamboohead/commands.hpp
+++ b/include/bamboohead/commands.hpp
@@ -23,6 +23,7 @@
 int stateCommand(int argc, char **argv);
 int loadCommand(int argc, char **argv);
 int settingsCommand(int argc, char **argv);
+int errorsCommand(int argc, char **argv);
 /// @}
 
 } // namespace bamboohead
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -22,6 +22,7 @@
         subcommand{"zone", "take a zone out of service or back in", bamboohead::zoneCommand},
         subcommand{"state", "print the state of a process", bamboohead::stateCommand},
         subcommand{"settings", "print the reference of all settings", bamboohead::settingsCommand},
+        subcommand{"errors", "print the reference of all error kinds", bamboohead::errorsCommand},
 };
 
 void printUsage(std::ostream &out)
