Fuzz the inputs from callers, operators, peers and the store; reject values out of range

Cause: no test fed malformed input to the parsers and cores. The inputs showed faults, each fixed where the value enters: an echo from the future kept a silent peer alive and overflowed the age; an agent heartbeat with 2^32-1 slots was believed; a reply that is refused and may have run, or failed with results, was passed on; an agent started an order with a payload over 4 KB or a task number over 1,199; jobs out of limits were taken from peers; a run time over 24 h entered the estimate.

--- a/include/bamboohead/job.hpp
+++ b/include/bamboohead/job.hpp
@@ -12,6 +12,7 @@
 
 inline constexpr std::size_t maxTasksPerJob = 1200;
 inline constexpr std::size_t maxPayloadBytes = 4096;
+inline constexpr std::uint32_t maxSlotsPerTarget = 256;
 inline constexpr std::size_t maxBodyBytes = std::size_t{8} << 20U;
 
 /// @brief 128-bit xxHash of a job's content, without its id.
@@ -52,6 +53,10 @@
 /// @brief Name of an outcome as it appears in answers and logs.
 [[nodiscard]] std::string_view toText(job_outcome outcome) noexcept;
 
+/// @brief Whether a job received from a peer has an allowed number of tasks and payloads of an
+///        allowed size.
+[[nodiscard]] bool withinLimits(const wire::JobSubmission &job);
+
 /// @brief Hash over team, service, deadline, idempotence and payloads.
 [[nodiscard]] content_hash hashContent(const job_submission &job);
 
@@ -63,6 +68,7 @@
 void toWire(const job_submission &job, wire::JobSubmission &out);
 [[nodiscard]] job_submission fromWire(const wire::JobSubmission &job);
 void toWire(const job_answer &answer, wire::JobAnswer &out);
+/// An answer that contradicts itself is read as failed; only a complete answer keeps its results.
 [[nodiscard]] job_answer fromWire(const wire::JobAnswer &answer);
 /// @}
 
--- a/src/adapters/job_json.cpp
+++ b/src/adapters/job_json.cpp
@@ -15,7 +15,7 @@
 constexpr value_bounds payloadLength{0, maxPayloadBytes};
 constexpr value_bounds taskCount{1, maxTasksPerJob};
 constexpr value_bounds deadlineMilliseconds{1, maxDeadline.count()};
-constexpr value_bounds targetSlots{1, 256};
+constexpr value_bounds targetSlots{1, maxSlotsPerTarget};
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
 
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -71,6 +71,9 @@
     if (!from.fresh(orderAgeLimit)) {
         return error_kind::order_stale;
     }
+    if (ref.task >= maxTasksPerJob || order.payload().size() > maxPayloadBytes) {
+        return error_kind::invalid_request;
+    }
     if (m_tasks.taskTaken(ref)) {
         return error_kind::order_duplicate;
     }
--- a/src/entry/backup_keeper.cpp
+++ b/src/entry/backup_keeper.cpp
@@ -22,7 +22,7 @@
 {
     const auto id = fromWire(put.job().id());
     const bool fresh = age && *age <= recordAgeLimit;
-    if (!addressed(envelope, id.session.home) || !fresh) {
+    if (!addressed(envelope, id.session.home) || !fresh || !withinLimits(put.job())) {
         ++m_ctx.counters.messagesDropped;
         return;
     }
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -126,7 +126,7 @@
     const auto verb = static_cast<job_verb>(message.verb());
     const auto id = fromWire(message.id());
     const bool fresh = age && *age <= forwardAgeLimit;
-    if (verb == job_verb::submit && fresh) {
+    if (verb == job_verb::submit && fresh && withinLimits(message.job())) {
         auto submission = fromWire(message.job());
         submission.id = id;
         submit(caller, std::move(submission));
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -130,7 +130,8 @@
 {
     const incarnation_id sender{envelope.sender()};
     pullIfNewer(sender, heartbeat.config_version());
-    const bool ready = !heartbeat.service().empty() && m_ctx.alive(sender);
+    const bool ready = !heartbeat.service().empty() && heartbeat.slots() <= maxSlotsPerTarget &&
+                       m_ctx.alive(sender);
     if (!ready) {
         return;
     }
--- a/src/entry/order_tracker.cpp
+++ b/src/entry/order_tracker.cpp
@@ -4,6 +4,8 @@
 #include "bamboohead/detail/entry/job_keeper.hpp"
 #include "bamboohead/detail/entry/record_keeper.hpp"
 
+#include <algorithm>
+
 namespace bamboohead::detail {
 
 void order_tracker::ordered(task_record &task, agent_record &agent)
@@ -121,7 +123,9 @@
     const auto &service = job.submission.service;
     m_ctx.health.taskEnded(task.agent, job.id(), false, now);
     m_ctx.admit.taskEnded(service, now);
-    m_ctx.queue.observe(service, duration{static_cast<duration::rep>(update.run_time_us())});
+    const auto longest = static_cast<std::uint64_t>(maxDeadline.count());
+    const auto runTime = static_cast<duration::rep>(std::min(update.run_time_us(), longest));
+    m_ctx.queue.observe(service, duration{runTime});
     task.watchHook.unlink();
     task.agentHook.unlink();
     task.phase = task_phase::finished;
--- a/src/job.cpp
+++ b/src/job.cpp
@@ -51,6 +51,15 @@
     return answer;
 }
 
+bool withinLimits(const wire::JobSubmission &job)
+{
+    const auto tasks = static_cast<std::size_t>(job.tasks_size());
+    return tasks >= 1 && tasks <= maxTasksPerJob &&
+           std::ranges::all_of(job.tasks(), [](const wire::TaskSpec &task) {
+               return task.payload().size() <= maxPayloadBytes;
+           });
+}
+
 void toWire(const job_submission &job, wire::JobSubmission &out)
 {
     toWire(job.id, *out.mutable_id());
@@ -102,7 +111,12 @@
     result.error = errorFromWire(answer.error());
     result.message = answer.message();
     result.mayHaveRun = answer.may_have_run();
-    result.results.assign(answer.results().begin(), answer.results().end());
+    if (result.outcome == job_outcome::refused && result.mayHaveRun) {
+        result.outcome = job_outcome::failed;
+    }
+    if (result.outcome == job_outcome::complete) {
+        result.results.assign(answer.results().begin(), answer.results().end());
+    }
     return result;
 }
 
--- a/src/link_table.cpp
+++ b/src/link_table.cpp
@@ -17,6 +17,11 @@
     if (receiver != incarnation_id::none && receiver != m_self.incarnation) {
         return verdict;
     }
+    // An echo is one of this process's own stamps, so one from the future is false. It would keep
+    // the peer alive, and its proofs current, for as long as it lies ahead.
+    if (envelope.echo_us() > toStamp(m_clock.now())) {
+        return verdict;
+    }
     verdict.accepted = true;
     const incarnation_id sender{envelope.sender()};
     verdict.firstContact = !m_links.contains(sender);
--- /dev/null
+++ b/tests/fuzz/fuzz_agent.cpp
@@ -0,0 +1,134 @@
+#include "message_feed.hpp"
+
+#include "bamboohead/agent_core.hpp"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace bamboohead::fuzz {
+
+namespace {
+
+constexpr std::uint32_t ownSlots = 2;
+constexpr std::uint64_t excessOrders = 2;
+constexpr duration longestTimeout = std::chrono::hours{24};
+constexpr duration silence = std::chrono::seconds{3};
+
+/// An agent with a ready target in a zone that is in, current by one entry.
+class agent_under_test
+{
+public:
+    agent_under_test()
+        : m_core{options(), m_clock}
+    {
+        wire::Envelope push;
+        push.mutable_config_push()->set_version(1);
+        push.mutable_config_push()->set_manifest(feedManifest);
+        address(push, false, true, m_clock.now());
+        m_core.receive(push);
+        wire::Envelope peer;
+        peer.mutable_entry_heartbeat()->set_config_version(1);
+        peer.mutable_entry_heartbeat()->set_current(true);
+        address(peer, false, true, m_clock.now());
+        m_core.receive(peer);
+        m_core.targetAnnounced(target_announcement{"quote", ownSlots, target_state::ready});
+        step();
+    }
+
+    void take(const feed_message &message)
+    {
+        m_clock.advance(message.advance);
+        if ((message.flags & flag_stop) != 0) {
+            m_core.stop();
+        } else if ((message.flags & flag_dump) != 0) {
+            m_core.targetAnnounced(target_announcement{"quote", ownSlots, target_state::ready});
+        }
+        m_core.receive(message.envelope);
+        step();
+    }
+
+    /// After a silence the agent must not count as current, whatever the messages said.
+    void finish()
+    {
+        endTasks();
+        step();
+        m_clock.advance(silence);
+        step();
+        const auto state = m_core.dump();
+        require(!state.at("current").as_bool(), "current without a proof");
+        for (const auto &entry : state.at("entries").as_array()) {
+            require(!entry.at("alive").as_bool(), "a silent entry counts as alive");
+        }
+    }
+
+private:
+    static agent_options options()
+    {
+        agent_options result;
+        result.self = process_identity{incarnation_id{selfIncarnation}, "tcp://127.0.0.1:1",
+                                       wire::ROLE_AGENT, "graz"};
+        return result;
+    }
+
+    void step()
+    {
+        m_core.tick();
+        for (const auto &action : m_core.takeActions()) {
+            if (const auto *const task = std::get_if<run_task>(&action)) {
+                checkTask(*task);
+            }
+        }
+        const auto state = m_core.dump();
+        const auto number = [&state](const char *key) {
+            return state.at(key).to_number<std::uint64_t>();
+        };
+        require(number("running") <= ownSlots, "more tasks than slots");
+        require(number("queued") + number("running") <= ownSlots + excessOrders, "too many orders");
+        if (number("running") == ownSlots) {
+            endTasks();
+        }
+    }
+
+    void checkTask(const run_task &task)
+    {
+        require(task.service == "quote", "service");
+        require(task.payload.size() <= maxPayloadBytes, "payload");
+        require(task.ref.task < maxTasksPerJob, "task number");
+        require(task.timeout > duration{} && task.timeout <= longestTimeout, "timeout");
+        const auto name = std::pair{task.ref.job, task.ref.task};
+        require(m_started.insert(name).second, "a task started twice");
+        m_running.push_back(task.ref);
+    }
+
+    void endTasks()
+    {
+        for (const auto &ref : std::exchange(m_running, {})) {
+            task_end end;
+            end.ref = ref;
+            end.result = "ok";
+            m_core.taskEnded(end);
+        }
+    }
+
+    manual_clock m_clock;
+    agent_core m_core;
+    std::set<std::pair<job_id, std::uint32_t>> m_started;
+    std::vector<task_ref> m_running;
+};
+
+} // namespace
+
+void fuzzAgentMessages(input_bytes bytes)
+{
+    manual_clock clock;
+    agent_under_test agent;
+    message_feed feed{bytes};
+    while (auto message = feed.next(clock)) {
+        clock.advance(message->advance);
+        agent.take(*message);
+    }
+    agent.finish();
+}
+
+} // namespace bamboohead::fuzz
--- /dev/null
+++ b/tests/fuzz/fuzz_entry.cpp
@@ -0,0 +1,178 @@
+#include "message_feed.hpp"
+
+#include "bamboohead/entry_core.hpp"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace bamboohead::fuzz {
+
+namespace {
+
+constexpr std::uint64_t mostSlots = 256;
+constexpr std::uint32_t ownSlots = 4;
+constexpr duration silence = std::chrono::seconds{3};
+
+/// An entry with a backup, an agent and one job, before the messages of an input arrive.
+class entry_under_test
+{
+public:
+    entry_under_test()
+        : m_core{options(), m_clock}
+    {
+        wire::Envelope peer;
+        peer.mutable_entry_heartbeat()->set_config_version(1);
+        peer.mutable_entry_heartbeat()->set_current(true);
+        wire::Envelope agent;
+        agent.mutable_agent_heartbeat()->set_service("quote");
+        agent.mutable_agent_heartbeat()->set_slots(ownSlots);
+        agent.mutable_agent_heartbeat()->set_config_version(1);
+        agent.mutable_agent_heartbeat()->set_credit_epoch(1);
+        agent.mutable_agent_heartbeat()->set_issued_total(2);
+        m_core.storeRead(config_version{1}, feedManifest, m_clock.now());
+        address(peer, false, true, m_clock.now());
+        m_core.receive(peer);
+        address(agent, true, true, m_clock.now());
+        m_core.receive(agent);
+        submitOwnJob();
+        step();
+    }
+
+    void take(const feed_message &message)
+    {
+        m_clock.advance(message.advance);
+        if ((message.flags & flag_stop) != 0) {
+            m_core.stop();
+        }
+        const auto held = unfinishedJobs();
+        m_acknowledged = false;
+        m_core.receive(message.envelope);
+        step();
+        checkJobLimits(message.envelope, held);
+        if ((message.flags & flag_dump) != 0) {
+            checkDump();
+        }
+    }
+
+    /// After a silence no peer may count as alive, whatever its messages said.
+    void finish()
+    {
+        checkDump();
+        m_clock.advance(silence);
+        step();
+        const auto state = m_core.dump();
+        for (const auto *const list : {"entries", "agents"}) {
+            for (const auto &peer : state.at(list).as_array()) {
+                require(!peer.at("alive").as_bool(), "a silent peer counts as alive");
+            }
+        }
+        // A pushed manifest may name a single zone, whose entry needs no other for its proof.
+        const bool ownManifest = state.at("config_version").to_number<std::uint64_t>() == 1;
+        require(!ownManifest || !state.at("current").as_bool(), "current without a proof");
+    }
+
+private:
+    static entry_options options()
+    {
+        entry_options result;
+        result.self = process_identity{incarnation_id{selfIncarnation}, "tcp://127.0.0.1:1",
+                                       wire::ROLE_ENTRY, "graz"};
+        result.maxJobs = 50;
+        return result;
+    }
+
+    void submitOwnJob()
+    {
+        m_core.openSession(caller_request{1});
+        job_submission job;
+        job.id = job_id{session_id{{incarnation_id{selfIncarnation}, incarnation_id{peerEntry}}, 1},
+                        1};
+        job.team = "growers";
+        job.service = "quote";
+        job.payloads = {"a", "b", "c"};
+        job.hash = hashContent(job);
+        m_core.submit(caller_request{2}, std::move(job), true);
+        m_callers = {1, 2};
+    }
+
+    void step()
+    {
+        m_core.tick();
+        for (const auto &action : m_core.takeActions()) {
+            if (const auto *const answer = std::get_if<answer_caller>(&action)) {
+                checkAnswer(*answer);
+            } else if (const auto *const message = std::get_if<send_message>(&action)) {
+                checkSent(message->envelope);
+            }
+        }
+    }
+
+    void checkAnswer(const answer_caller &answer)
+    {
+        require(m_callers.erase(static_cast<std::uint64_t>(answer.request)) == 1,
+                "an answer for nobody");
+        const bool whole = answer.answer.outcome == job_outcome::complete;
+        require(answer.answer.results.size() <= (whole ? maxTasksPerJob : 0), "results");
+        require(answer.answer.outcome != job_outcome::refused || !answer.answer.mayHaveRun,
+                "refused, but may have run");
+    }
+
+    void checkSent(const wire::Envelope &envelope)
+    {
+        m_acknowledged = m_acknowledged || envelope.has_record_ack();
+        for (const auto &order : envelope.start_tasks().orders()) {
+            require(order.payload().size() <= maxPayloadBytes, "payload of an order");
+            require(order.ref().task() < maxTasksPerJob, "task number of an order");
+        }
+        for (const auto &demand : envelope.entry_heartbeat().demand()) {
+            require(demand.waiting() <= 50 * maxTasksPerJob, "demand");
+        }
+    }
+
+    void checkJobLimits(const wire::Envelope &envelope, std::uint64_t heldBefore)
+    {
+        if (envelope.has_record_put() && !withinLimits(envelope.record_put().job())) {
+            require(!m_acknowledged, "a record out of limits");
+        }
+        const auto &forward = envelope.job_forward();
+        if (envelope.has_job_forward() && forward.verb() == 1 && !withinLimits(forward.job())) {
+            require(unfinishedJobs() <= heldBefore, "a job out of limits");
+        }
+    }
+
+    std::uint64_t unfinishedJobs() const
+    {
+        return m_core.dump().at("unfinished_jobs").to_number<std::uint64_t>();
+    }
+
+    void checkDump()
+    {
+        const auto state = m_core.dump();
+        for (const auto &agent : state.at("agents").as_array()) {
+            require(agent.at("slots").to_number<std::uint64_t>() <= mostSlots, "slots");
+        }
+        require(state.at("unfinished_jobs").to_number<std::uint64_t>() <= 1'000, "jobs");
+    }
+
+    manual_clock m_clock;
+    entry_core m_core;
+    std::set<std::uint64_t> m_callers;
+    bool m_acknowledged = false; ///< a record was acknowledged in the present step
+};
+
+} // namespace
+
+void fuzzEntryMessages(input_bytes bytes)
+{
+    manual_clock clock;
+    entry_under_test entry;
+    message_feed feed{bytes};
+    while (auto message = feed.next(clock)) {
+        clock.advance(message->advance);
+        entry.take(*message);
+    }
+    entry.finish();
+}
+
+} // namespace bamboohead::fuzz
--- /dev/null
+++ b/tests/fuzz/seeds.cpp
@@ -0,0 +1,334 @@
+// Writes one well-formed input for each kind of message, for the corpora of the two cores.
+// usage: fuzz_seeds DIRECTORY
+
+#include "message_feed.hpp"
+
+#include "bamboohead/job.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <limits>
+
+namespace bamboohead::fuzz {
+
+namespace {
+
+constexpr std::uint8_t fromEntry = flag_addressed | flag_echo | flag_dump;
+constexpr std::uint8_t fromAgent = fromEntry | flag_from_agent;
+constexpr std::uint64_t someTime = 100'000;
+
+job_id jobOf(std::uint64_t primary, std::uint64_t backup, std::uint64_t number)
+{
+    return job_id{session_id{{incarnation_id{primary}, incarnation_id{backup}}, 1}, number};
+}
+
+wire::Envelope sealed()
+{
+    wire::Envelope envelope;
+    address(envelope, false, true, manual_clock{}.now());
+    return envelope;
+}
+
+job_submission submission(const job_id &id)
+{
+    job_submission job;
+    job.id = id;
+    job.team = "growers";
+    job.service = "quote";
+    job.deadline = std::chrono::seconds{5};
+    job.payloads = {"x", "y"};
+    job.hash = hashContent(job);
+    return job;
+}
+
+wire::Envelope taskUpdate(const job_id &job, std::uint32_t attempt, wire::TaskState state,
+                          error_kind error)
+{
+    auto envelope = sealed();
+    auto &updates = *envelope.mutable_task_updates();
+    updates.set_credit_epoch(1);
+    updates.set_issued_total(4);
+    for (std::uint32_t task = 0; task < 3; ++task) {
+        auto &update = *updates.add_updates();
+        toWire(task_ref{job, task, attempt}, *update.mutable_ref());
+        update.set_state(state);
+        update.set_error(toWire(error));
+        update.set_result("r");
+        update.set_run_time_us(someTime);
+    }
+    return envelope;
+}
+
+wire::Envelope start(std::uint64_t number, wire::Owner owner, std::uint32_t attempt)
+{
+    auto envelope = sealed();
+    auto &tasks = *envelope.mutable_start_tasks();
+    tasks.set_owner(owner);
+    tasks.set_config_version(1);
+    tasks.set_credit_epoch(1);
+    tasks.set_used_total(1);
+    auto &order = *tasks.add_orders();
+    const bool primary = owner == wire::OWNER_PRIMARY;
+    const auto home = primary ? jobOf(peerEntry, 3, number) : jobOf(3, peerEntry, number);
+    toWire(task_ref{home, 0, attempt}, *order.mutable_ref());
+    order.set_service("quote");
+    order.set_payload("run_ms=10");
+    order.set_remaining_us(someTime * 10);
+    auto &demand = *tasks.add_demand();
+    demand.set_service("quote");
+    demand.set_waiting(3);
+    demand.set_oldest_age_us(someTime);
+    return envelope;
+}
+
+wire::Envelope agentHeartbeat()
+{
+    auto envelope = sealed();
+    auto &heartbeat = *envelope.mutable_agent_heartbeat();
+    heartbeat.set_service("quote");
+    heartbeat.set_slots(4);
+    heartbeat.set_config_version(1);
+    heartbeat.set_credit_epoch(1);
+    heartbeat.set_issued_total(4);
+    return envelope;
+}
+
+wire::Envelope entryHeartbeat()
+{
+    auto envelope = sealed();
+    auto &heartbeat = *envelope.mutable_entry_heartbeat();
+    heartbeat.set_config_version(1);
+    heartbeat.set_current(true);
+    heartbeat.set_credit_epoch(1);
+    auto &usage = *heartbeat.add_usage();
+    usage.set_team("growers");
+    usage.set_running(2);
+    auto &demand = *heartbeat.add_demand();
+    demand.set_service("quote");
+    demand.set_waiting(2);
+    return envelope;
+}
+
+wire::Envelope configPush()
+{
+    auto envelope = sealed();
+    envelope.mutable_config_push()->set_version(2);
+    envelope.mutable_config_push()->set_manifest(feedManifest);
+    return envelope;
+}
+
+std::string takeoverInput()
+{
+    const auto id = jobOf(peerEntry, selfIncarnation, 1);
+    auto scope = sealed();
+    toWire(id.session.home, *scope.mutable_scope_update()->mutable_home());
+    scope.mutable_scope_update()->set_version(1);
+    scope.mutable_scope_update()->set_full(true);
+    scope.mutable_scope_update()->add_added()->set_incarnation(peerAgent);
+    auto put = sealed();
+    toWire(submission(id), *put.mutable_record_put()->mutable_job());
+    put.mutable_record_put()->set_remaining_us(someTime * 50);
+    auto stopping = sealed();
+    toWire(id.session.home, *stopping.mutable_home_stopping()->mutable_home());
+    auto report = sealed();
+    toWire(id.session.home, *report.mutable_fence_report()->mutable_home());
+    auto &task = *report.mutable_fence_report()->add_tasks();
+    toWire(task_ref{id, 0, 0}, *task.mutable_ref());
+    task.set_state(wire::TASK_STATE_RUNNING);
+    return feedText(fromEntry, 0, scope) + feedText(fromEntry, 1, put) +
+           feedText(fromEntry, 1, stopping) + feedText(fromAgent, 1, report) +
+           feedText(fromAgent, 1, agentHeartbeat());
+}
+
+std::string ownJobInput()
+{
+    const auto id = jobOf(selfIncarnation, peerEntry, 1);
+    auto ack = sealed();
+    toWire(id, *ack.mutable_record_ack()->mutable_id());
+    auto scope = sealed();
+    toWire(id.session.home, *scope.mutable_scope_ack()->mutable_home());
+    scope.mutable_scope_ack()->set_version(1);
+    return feedText(fromEntry, 1, scope) + feedText(fromEntry, 1, ack) +
+           feedText(fromAgent, 1, agentHeartbeat()) +
+           feedText(fromAgent, 1,
+                    taskUpdate(id, 0, wire::TASK_STATE_REFUSED, error_kind::no_credit)) +
+           feedText(fromAgent, 10, agentHeartbeat()) +
+           feedText(fromAgent, 10, taskUpdate(id, 1, wire::TASK_STATE_FINISHED, error_kind::none));
+}
+
+std::string forwardInput()
+{
+    const auto id = jobOf(selfIncarnation, peerEntry, 2);
+    auto forward = sealed();
+    forward.mutable_job_forward()->set_request(7);
+    forward.mutable_job_forward()->set_verb(1);
+    toWire(id, *forward.mutable_job_forward()->mutable_id());
+    toWire(submission(id), *forward.mutable_job_forward()->mutable_job());
+    auto reply = sealed();
+    reply.mutable_job_reply()->set_request(1);
+    toWire(errorAnswer(id, error_kind::overloaded), *reply.mutable_job_reply()->mutable_answer());
+    auto close = sealed();
+    toWire(errorAnswer(jobOf(peerEntry, selfIncarnation, 1), error_kind::task_failed),
+           *close.mutable_record_close()->mutable_answer());
+    auto closed = sealed();
+    toWire(id, *closed.mutable_record_close_ack()->mutable_id());
+    return feedText(fromEntry, 1, forward) + feedText(fromEntry, 1, reply) +
+           feedText(fromEntry, 1, close) + feedText(fromEntry, 60, closed);
+}
+
+std::string membersInput()
+{
+    auto hello = sealed();
+    hello.mutable_hello();
+    auto members = sealed();
+    auto &member = *members.mutable_member_list()->add_entries();
+    member.set_incarnation(3);
+    member.set_endpoint("tcp://127.0.0.1:3");
+    member.set_zone("graz");
+    auto pull = sealed();
+    pull.mutable_config_pull();
+    return feedText(fromEntry, 1, hello) + feedText(fromEntry, 1, members) +
+           feedText(fromEntry, 1, pull) + feedText(fromEntry, 1, entryHeartbeat()) +
+           feedText(fromEntry, 1, configPush());
+}
+
+std::string ordersInput()
+{
+    auto fence = sealed();
+    toWire(job_home{incarnation_id{3}, incarnation_id{peerEntry}},
+           *fence.mutable_fence_request()->mutable_home());
+    auto query = sealed();
+    toWire(task_ref{jobOf(peerEntry, 3, 2), 0, 0}, *query.mutable_task_query()->add_refs());
+    auto ack = sealed();
+    toWire(task_ref{jobOf(peerEntry, 3, 1), 0, 0}, *ack.mutable_update_ack()->add_refs());
+    return feedText(fromEntry, 1, entryHeartbeat()) +
+           feedText(fromEntry, 1, start(1, wire::OWNER_PRIMARY, 0)) +
+           feedText(fromEntry, 1, query) + feedText(fromEntry, 1, ack) +
+           feedText(fromEntry, 1, fence) +
+           feedText(fromEntry, 1, start(3, wire::OWNER_BACKUP, 1U << 16U));
+}
+
+// Inputs with values out of range, which must be rejected.
+
+constexpr std::uint8_t withoutEcho = flag_addressed | flag_dump;
+constexpr auto mostNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr auto mostSmall = std::numeric_limits<std::uint32_t>::max();
+
+std::string futureEchoInput(bool asAgent)
+{
+    auto ahead = asAgent ? agentHeartbeat() : entryHeartbeat();
+    ahead.set_echo_us(toStamp(manual_clock{}.now() + std::chrono::hours{1}));
+    auto farAhead = ahead;
+    farAhead.set_echo_us(mostNumber);
+    auto negative = ahead;
+    negative.set_echo_us(mostNumber / 2 + 2);
+    const std::uint8_t flags = withoutEcho | (asAgent ? flag_from_agent : 0);
+    return feedText(flags, 1, ahead) + feedText(flags, 1, farAhead) + feedText(flags, 1, negative);
+}
+
+std::string wideHeartbeatInput()
+{
+    auto wide = agentHeartbeat();
+    wide.mutable_agent_heartbeat()->set_slots(mostSmall);
+    wide.mutable_agent_heartbeat()->set_running(mostSmall);
+    wide.mutable_agent_heartbeat()->set_queued(mostSmall);
+    wide.mutable_agent_heartbeat()->set_issued_total(mostNumber);
+    return feedText(fromAgent, 1, wide) + ownJobInput();
+}
+
+std::string longRunInput()
+{
+    const auto id = jobOf(selfIncarnation, peerEntry, 1);
+    auto updates = taskUpdate(id, 0, wire::TASK_STATE_FINISHED, error_kind::none);
+    for (auto &update : *updates.mutable_task_updates()->mutable_updates()) {
+        update.set_run_time_us(mostNumber);
+    }
+    return ownJobInput() + feedText(fromAgent, 1, updates);
+}
+
+std::string bigJobInput(std::size_t tasks, std::size_t payloadBytes)
+{
+    const auto own = jobOf(selfIncarnation, peerEntry, 2);
+    auto job = submission(own);
+    job.payloads.assign(tasks, std::string(payloadBytes, 'x'));
+    job.deadline = duration{std::numeric_limits<duration::rep>::max()};
+    auto forward = sealed();
+    forward.mutable_job_forward()->set_verb(1);
+    toWire(own, *forward.mutable_job_forward()->mutable_id());
+    toWire(job, *forward.mutable_job_forward()->mutable_job());
+    job.id = jobOf(peerEntry, selfIncarnation, 1);
+    auto put = sealed();
+    toWire(job, *put.mutable_record_put()->mutable_job());
+    put.mutable_record_put()->set_remaining_us(mostNumber);
+    return feedText(fromEntry, 1, forward) + feedText(fromEntry, 1, put) + takeoverInput();
+}
+
+std::string wideOrderInput()
+{
+    auto big = start(1, wire::OWNER_PRIMARY, 0);
+    auto &bigOrder = *big.mutable_start_tasks()->mutable_orders(0);
+    bigOrder.set_payload(std::string(maxPayloadBytes + 1, 'x'));
+    auto wide = start(2, wire::OWNER_PRIMARY, mostSmall);
+    auto &wideOrder = *wide.mutable_start_tasks()->mutable_orders(0);
+    wideOrder.mutable_ref()->set_task(mostSmall);
+    wideOrder.set_remaining_us(mostNumber);
+    wide.mutable_start_tasks()->set_used_total(mostNumber);
+    return feedText(fromEntry, 1, entryHeartbeat()) + feedText(fromEntry, 1, big) +
+           feedText(fromEntry, 1, wide) + ordersInput();
+}
+
+std::string wrongAnswerInput()
+{
+    auto answer = errorAnswer(jobOf(selfIncarnation, peerEntry, 1), error_kind::overloaded);
+    answer.mayHaveRun = true;
+    answer.results = {"a"};
+    auto reply = sealed();
+    toWire(answer, *reply.mutable_job_reply()->mutable_answer());
+    auto close = sealed();
+    answer.id = jobOf(peerEntry, selfIncarnation, 1);
+    toWire(answer, *close.mutable_record_close()->mutable_answer());
+    auto fenced = taskUpdate(jobOf(selfIncarnation, peerEntry, 1), 0, wire::TASK_STATE_REFUSED,
+                             error_kind::order_fenced);
+    std::string text = feedText(fromAgent, 1, fenced);
+    for (std::uint64_t request = 0; request < 4; ++request) {
+        reply.mutable_job_reply()->set_request(request);
+        text += feedText(fromEntry, 1, reply);
+    }
+    return text + feedText(fromEntry, 1, close);
+}
+
+void write(const std::string &path, const std::string &text)
+{
+    std::ofstream{path, std::ios::binary} << text;
+}
+
+} // namespace
+
+} // namespace bamboohead::fuzz
+
+int main(int argc, char **argv)
+{
+    using namespace bamboohead::fuzz;
+    if (argc != 2) {
+        std::cerr << "usage: fuzz_seeds DIRECTORY\n";
+        return 2;
+    }
+    const std::string directory{argv[1]};
+    write(directory + "/entry_messages/takeover", takeoverInput());
+    write(directory + "/entry_messages/own_job", ownJobInput());
+    write(directory + "/entry_messages/forward", forwardInput());
+    write(directory + "/entry_messages/members", membersInput());
+    write(directory + "/entry_messages/future_echo_entry", futureEchoInput(false));
+    write(directory + "/entry_messages/future_echo_agent", futureEchoInput(true));
+    write(directory + "/entry_messages/wide_heartbeat", wideHeartbeatInput());
+    write(directory + "/entry_messages/long_run", longRunInput());
+    write(directory + "/entry_messages/many_tasks", bigJobInput(bamboohead::maxTasksPerJob + 1, 0));
+    write(directory + "/entry_messages/big_payload",
+          bigJobInput(1, bamboohead::maxPayloadBytes + 1));
+    write(directory + "/entry_messages/wrong_answer", wrongAnswerInput());
+    write(directory + "/agent_messages/future_echo", futureEchoInput(false));
+    write(directory + "/agent_messages/wide_order", wideOrderInput());
+    write(directory + "/agent_messages/members", membersInput());
+    write(directory + "/agent_messages/orders", ordersInput());
+    return 0;
+}
