Count traffic by message kind; add bench/capacity and its bench of the cores

Cause: no figure said what a role costs by size, and the transport counted messages but neither bytes nor kinds.

--- /dev/null
+++ b/bench/capacity_fleet.cpp
@@ -0,0 +1,444 @@
+#include "capacity_fleet.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+#include <malloc.h>
+#include <new>
+#include <time.h>
+
+namespace {
+
+thread_local std::int64_t liveHeap = 0;
+
+void *counted(std::size_t size)
+{
+    void *const block = std::malloc(size);
+    if (block == nullptr) {
+        throw std::bad_alloc{};
+    }
+    liveHeap += static_cast<std::int64_t>(malloc_usable_size(block));
+    return block;
+}
+
+void released(void *block) noexcept
+{
+    liveHeap -= static_cast<std::int64_t>(malloc_usable_size(block));
+    std::free(block);
+}
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    return counted(size);
+}
+void *operator new[](std::size_t size)
+{
+    return counted(size);
+}
+void operator delete(void *block) noexcept
+{
+    released(block);
+}
+void operator delete[](void *block) noexcept
+{
+    released(block);
+}
+void operator delete(void *block, std::size_t) noexcept
+{
+    released(block);
+}
+void operator delete[](void *block, std::size_t) noexcept
+{
+    released(block);
+}
+
+namespace bamboohead::bench {
+
+namespace {
+
+constexpr duration passTime = std::chrono::milliseconds{10};
+
+std::int64_t threadNanoseconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::int64_t{time.tv_sec} * 1'000'000'000 + time.tv_nsec;
+}
+
+/// Cost of one reading of the clock, which is taken off each measurement.
+std::int64_t readingCost()
+{
+    constexpr int readings = 20'000;
+    const auto begin = threadNanoseconds();
+    for (int i = 0; i < readings; ++i) {
+        (void)threadNanoseconds();
+    }
+    return (threadNanoseconds() - begin) / readings;
+}
+
+/// Adds the CPU time and the heap growth of its scope to a usage.
+class meter
+{
+public:
+    explicit meter(usage &used)
+        : m_used{used}
+        , m_heap{liveHeap}
+        , m_begin{threadNanoseconds()}
+    {}
+    ~meter()
+    {
+        static const auto cost = readingCost();
+        m_used.cpuNanoseconds += threadNanoseconds() - m_begin - cost;
+        m_used.heapBytes += liveHeap - m_heap;
+    }
+    meter(const meter &) = delete;
+    meter &operator=(const meter &) = delete;
+
+private:
+    usage &m_used;
+    std::int64_t m_heap;
+    std::int64_t m_begin;
+};
+
+void count(kind_table &table, std::size_t kind, std::size_t bytes)
+{
+    ++table.at(kind).messages;
+    table[kind].bytes += bytes;
+}
+
+std::string name(const char *prefix, std::size_t number)
+{
+    return prefix + std::to_string(number);
+}
+
+std::string endpointOf(std::size_t host, int port)
+{
+    // As long as the address of a process in a data centre.
+    return "tcp://10.20." + std::to_string(host / 250 + 1) + "." + std::to_string(host % 250 + 1) +
+           ":" + std::to_string(port);
+}
+
+} // namespace
+
+fleet::fleet(fleet_options options)
+    : m_options{options}
+    , m_manifest{manifestText()}
+    , m_result(options.resultBytes, 'r')
+{
+    for (std::size_t i = 0; i < std::min<std::size_t>(2, options.entries); ++i) {
+        m_seeds.push_back(endpointOf(i, 7001));
+    }
+    for (std::size_t i = 0; i < options.entries; ++i) {
+        auto node = std::make_unique<entry_node>();
+        node->endpoint = endpointOf(i, 7001);
+        entry_options made;
+        made.self = {incarnation_id{0x9e3779b97f4a7c15ULL * (i + 1)}, node->endpoint,
+                     wire::ROLE_ENTRY, name("zone-", i % options.zones)};
+        made.seeds = m_seeds;
+        made.seed = i + 1;
+        {
+            const meter measured{node->used};
+            node->core = std::make_unique<entry_core>(made, m_clock);
+        }
+        m_byEndpoint[node->endpoint] = node.get();
+        m_entries.push_back(std::move(node));
+    }
+    for (std::size_t i = 0; i < options.agents; ++i) {
+        addAgent(i);
+    }
+}
+
+void fleet::addAgent(std::size_t number)
+{
+    auto node = std::make_unique<agent_node>();
+    node->endpoint = endpointOf(1'000 + number, 7101);
+    const agent_options made{{incarnation_id{0xd1342543de82ef95ULL * (number + 1)}, node->endpoint,
+                              wire::ROLE_AGENT, name("zone-", number % m_options.zones)},
+                             m_seeds,
+                             number + 1};
+    {
+        const meter measured{node->used};
+        node->core = std::make_unique<agent_core>(made, m_clock);
+    }
+    // Spreads the agents' heartbeats over time.
+    node->nextTick = m_clock.now() + passTime * (number % 50);
+    m_byEndpoint[node->endpoint] = node.get();
+    m_agents.push_back(std::move(node));
+}
+
+void fleet::replaceAgent(std::size_t agent)
+{
+    m_agents[agent]->dead = true;
+    m_agents[agent]->inbox.clear();
+    addAgent(m_agents.size());
+}
+
+std::string fleet::manifestText() const
+{
+    boost::json::object zones;
+    boost::json::object services;
+    boost::json::object teams;
+    for (std::size_t i = 0; i < m_options.zones; ++i) {
+        zones[name("zone-", i)] = boost::json::object{{"state", "in"}};
+    }
+    for (std::size_t i = 0; i < m_options.services; ++i) {
+        services[name("service-number-", i)] =
+                boost::json::object{{"weight", 1}, {"default_deadline_ms", 3'600'000}};
+    }
+    for (std::size_t i = 0; i < m_options.teams; ++i) {
+        teams[name("team-number-", i)] =
+                boost::json::object{{"weight", 1}, {"max_running", 900'000}};
+    }
+    return boost::json::serialize(
+            boost::json::object{{"zones", zones}, {"services", services}, {"teams", teams}});
+}
+
+void fleet::run(duration total)
+{
+    for (duration passed{}; passed < total; passed += passTime) {
+        m_clock.advance(passTime);
+        for (auto &node : m_entries) {
+            if (!node->dead) {
+                stepEntry(*node);
+            }
+        }
+        for (std::size_t i = 0; i < m_agents.size(); ++i) {
+            stepAgent(*m_agents[i], i);
+        }
+    }
+}
+
+template <typename Core>
+void fleet::receiveAll(common &node, Core &core)
+{
+    const auto packets = std::exchange(node.inbox, {});
+    for (const auto &next : packets) {
+        wire::Envelope envelope;
+        envelope.ParseFromArray(next.data.get(), static_cast<int>(next.size));
+        count(node.used.received, messageKind(envelope), next.size);
+        if (envelope.has_config_push()) {
+            node.versionSeen = std::max(node.versionSeen, envelope.config_push().version());
+        }
+        core.receive(envelope);
+    }
+}
+
+void fleet::stepEntry(entry_node &node)
+{
+    std::vector<entry_action> answers;
+    {
+        const meter measured{node.used};
+        receiveAll(node, *node.core);
+        if (!node.told) {
+            node.core->storeRead(config_version{1}, m_manifest, m_clock.now());
+            node.told = true;
+            node.versionSeen = 1;
+        } else if (m_clock.now().time_since_epoch() % std::chrono::seconds{1} < passTime) {
+            node.core->storeRead(config_version{node.versionSeen}, m_manifest, m_clock.now());
+        }
+        node.core->tick();
+        for (auto &action : node.core->takeActions()) {
+            if (const auto *message = std::get_if<send_message>(&action)) {
+                post(node, *message);
+            } else if (!std::holds_alternative<log_event>(action)) {
+                perform(node, action);
+            }
+        }
+    }
+}
+
+void fleet::perform(entry_node &node, entry_action &action)
+{
+    // What leaves the core for the caller is the bench's memory, not the core's.
+    const auto before = liveHeap;
+    if (auto *const answer = std::get_if<answer_caller>(&action)) {
+        answer->answer.results.clear();
+        answer->answer.results.shrink_to_fit();
+        m_answers[static_cast<std::uint64_t>(answer->request)] = std::move(answer->answer);
+    } else if (const auto *const session = std::get_if<session_answer>(&action)) {
+        m_session = session->session;
+    }
+    node.used.heapBytes -= liveHeap - before;
+}
+
+void fleet::stepAgent(agent_node &node, std::size_t index)
+{
+    const auto now = m_clock.now();
+    const bool due = now >= node.nextTick || !node.running.empty() || !node.inbox.empty();
+    if (node.dead || !due) {
+        return;
+    }
+    std::vector<task_ref> ended;
+    while (!node.running.empty() && node.running.begin()->first <= now) {
+        ended.push_back(node.running.begin()->second);
+        node.running.erase(node.running.begin());
+    }
+    std::vector<task_ref> started;
+    started.reserve(m_options.slots + 1);
+    {
+        const meter measured{node.used};
+        receiveAll(node, *node.core);
+        for (const auto &ref : ended) {
+            node.core->taskEnded({ref, false, false, m_result, m_options.runTime});
+        }
+        if (now >= node.nextTick) {
+            node.nextTick = now + m_options.agentPeriod;
+            node.core->targetAnnounced({name("service-number-", index % m_options.services),
+                                        m_options.slots, target_state::ready});
+        }
+        node.core->tick();
+        for (const auto &action : node.core->takeActions()) {
+            if (const auto *message = std::get_if<send_message>(&action)) {
+                post(node, *message);
+            } else if (const auto *task = std::get_if<run_task>(&action)) {
+                started.push_back(task->ref);
+            }
+        }
+    }
+    for (const auto &ref : started) {
+        node.running.emplace(now + m_options.runTime, ref);
+    }
+}
+
+void fleet::post(common &from, const send_message &message)
+{
+    const auto size = message.envelope.ByteSizeLong();
+    packet made{{static_cast<char *>(std::malloc(size)), std::free}, size};
+    message.envelope.SerializeToArray(made.data.get(), static_cast<int>(size));
+    count(from.used.sent, messageKind(message.envelope), size);
+    const auto receiver = m_byEndpoint.find(message.endpoint);
+    if (receiver != m_byEndpoint.end() && !receiver->second->dead) {
+        const auto before = liveHeap;
+        receiver->second->inbox.push_back(std::move(made));
+        from.used.heapBytes -= liveHeap - before;
+    }
+}
+
+void fleet::killEntry(std::size_t entry)
+{
+    m_entries[entry]->dead = true;
+    m_entries[entry]->inbox.clear();
+}
+
+void fleet::resetUsage()
+{
+    for (auto &node : m_entries) {
+        node->used = {};
+    }
+    for (auto &node : m_agents) {
+        node->used = {};
+    }
+}
+
+session_id fleet::open(std::size_t entry)
+{
+    m_session = {};
+    {
+        const meter measured{m_entries[entry]->used};
+        m_entries[entry]->core->openSession(caller_request{m_nextRequest++});
+    }
+    run(passTime);
+    return m_session;
+}
+
+std::uint64_t fleet::submit(std::size_t entry, const session_id &session, std::uint64_t number,
+                            std::size_t tasks, std::size_t team, duration deadline)
+{
+    constexpr std::size_t payloadBytes = 60;
+    job_submission job;
+    job.id = job_id{session, number};
+    job.team = name("team-number-", team);
+    job.service = name("service-number-", number % m_options.services);
+    job.deadline = deadline;
+    for (std::size_t i = 0; i < tasks; ++i) {
+        job.payloads.emplace_back(payloadBytes, 'p');
+    }
+    job.hash = hashContent(job);
+    const auto request = m_nextRequest++;
+    auto &node = *m_entries[entry];
+    const meter measured{node.used};
+    auto copy = job; // counted as the core's
+    node.core->submit(caller_request{request}, std::move(copy), true);
+    return request;
+}
+
+std::size_t fleet::pushManifest(std::size_t entry)
+{
+    auto &node = *m_entries[entry];
+    node.versionSeen = ++m_version;
+    const meter measured{node.used};
+    node.core->manifestPushed(config_version{m_version}, m_manifest);
+    return m_manifest.size();
+}
+
+bool fleet::inForce() const
+{
+    const auto holds = [this](const auto &node) {
+        return node->dead || node->versionSeen >= m_version;
+    };
+    return std::ranges::all_of(m_entries, holds) && std::ranges::all_of(m_agents, holds);
+}
+
+const usage &fleet::entryUsage(std::size_t entry) const
+{
+    return m_entries[entry]->used;
+}
+
+const usage &fleet::agentUsage(std::size_t agent) const
+{
+    return m_agents[agent]->used;
+}
+
+usage fleet::allAgents() const
+{
+    usage sum;
+    for (const auto &node : m_agents) {
+        sum.cpuNanoseconds += node->used.cpuNanoseconds;
+        sum.heapBytes += node->used.heapBytes;
+        for (std::size_t kind = 0; kind < sum.sent.size(); ++kind) {
+            sum.sent[kind].messages += node->used.sent[kind].messages;
+            sum.sent[kind].bytes += node->used.sent[kind].bytes;
+            sum.received[kind].messages += node->used.received[kind].messages;
+            sum.received[kind].bytes += node->used.received[kind].bytes;
+        }
+    }
+    return sum;
+}
+
+traffic total(const kind_table &table)
+{
+    traffic sum;
+    for (const auto &kind : table) {
+        sum.messages += kind.messages;
+        sum.bytes += kind.bytes;
+    }
+    return sum;
+}
+
+boost::json::object toJson(const usage &used)
+{
+    const auto table = [](const kind_table &kinds) {
+        boost::json::object all;
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            if (kinds[kind].messages != 0) {
+                all[messageKinds[kind]] =
+                        boost::json::array{kinds[kind].messages, kinds[kind].bytes};
+            }
+        }
+        return all;
+    };
+    const auto sent = total(used.sent);
+    const auto received = total(used.received);
+    return {{"cpu_us", static_cast<double>(used.cpuNanoseconds) / 1e3},
+            {"heap_bytes", used.heapBytes},
+            {"sent_messages", sent.messages},
+            {"sent_bytes", sent.bytes},
+            {"received_messages", received.messages},
+            {"received_bytes", received.bytes},
+            {"sent_kinds", table(used.sent)},
+            {"received_kinds", table(used.received)}};
+}
+
+} // namespace bamboohead::bench
--- /dev/null
+++ b/bench/capacity_fleet.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "bamboohead/agent_core.hpp"
+#include "bamboohead/clock.hpp"
+#include "bamboohead/entry_core.hpp"
+#include "bamboohead/wire.hpp"
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace bamboohead::bench {
+
+/// @brief Messages and encoded bytes of one kind.
+struct traffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+using kind_table = std::array<traffic, messageKinds.size()>;
+
+/// @brief What one core has used since the last reset.
+struct usage
+{
+    std::int64_t cpuNanoseconds = 0; ///< thread CPU time in the core, the encoder and the parser
+    std::int64_t heapBytes = 0;      ///< growth of the live heap inside the core's calls
+    kind_table sent;
+    kind_table received;
+};
+
+/// @brief Sizes and loads of one experiment.
+struct fleet_options
+{
+    std::size_t entries = 2;
+    std::size_t agents = 32;
+    std::size_t zones = 4;
+    std::size_t teams = 3;
+    std::size_t services = 1;
+    std::uint32_t slots = 8;
+    duration runTime = std::chrono::milliseconds{100};
+    std::size_t resultBytes = 60;
+    /// Agents that run no task are ticked only this often, which saves the bench's time and moves
+    /// no heartbeat, because their intervals are multiples of it.
+    duration agentPeriod = std::chrono::milliseconds{10};
+};
+
+/// @brief Decision cores on one manual clock. Messages are encoded, parsed and delivered in the
+///        next pass; nothing is lost or delayed, so the bench counts costs and shows no behaviour
+///        under faults.
+class fleet
+{
+public:
+    explicit fleet(fleet_options options);
+
+    /// @brief Advances in passes of 10 ms.
+    void run(duration total);
+    /// @brief Ends an entry without notice.
+    void killEntry(std::size_t entry);
+    /// @brief Replaces an agent by another incarnation at a new endpoint, as with a replaced VM.
+    void replaceAgent(std::size_t agent);
+    /// @brief Starts counting from zero in all cores.
+    void resetUsage();
+
+    session_id open(std::size_t entry);
+    /// @return Number of the request, a key of answers().
+    std::uint64_t submit(std::size_t entry, const session_id &session, std::uint64_t number,
+                         std::size_t tasks, std::size_t team = 0, duration deadline = {});
+    /// @brief Gives a manifest of a newer version to one entry, as the operators' tool does.
+    std::size_t pushManifest(std::size_t entry);
+    /// @brief Whether all cores that live hold the newest version.
+    [[nodiscard]] bool inForce() const;
+
+    [[nodiscard]] const usage &entryUsage(std::size_t entry) const;
+    [[nodiscard]] const usage &agentUsage(std::size_t agent) const;
+    [[nodiscard]] usage allAgents() const;
+    [[nodiscard]] entry_core &entry(std::size_t entry) { return *m_entries[entry]->core; }
+    [[nodiscard]] const std::map<std::uint64_t, job_answer> &answers() const { return m_answers; }
+    [[nodiscard]] time_point now() const { return m_clock.now(); }
+
+private:
+    struct packet
+    {
+        std::unique_ptr<char, void (*)(void *)> data; ///< outside the counted heap
+        std::size_t size;
+    };
+    struct common
+    {
+        std::string endpoint;
+        std::vector<packet> inbox;
+        usage used;
+        std::uint64_t versionSeen = 0;
+        bool dead = false;
+    };
+    struct entry_node : common
+    {
+        std::unique_ptr<entry_core> core;
+        bool told = false;
+    };
+    struct agent_node : common
+    {
+        std::unique_ptr<agent_core> core;
+        std::multimap<time_point, task_ref> running;
+        time_point nextTick;
+    };
+
+    [[nodiscard]] std::string manifestText() const;
+    void addAgent(std::size_t number);
+    void stepEntry(entry_node &node);
+    void stepAgent(agent_node &node, std::size_t index);
+    void perform(entry_node &node, entry_action &action);
+    void post(common &from, const send_message &message);
+    template <typename Core>
+    void receiveAll(common &node, Core &core);
+
+    fleet_options m_options;
+    manual_clock m_clock;
+    std::uint64_t m_version = 1;
+    std::string m_manifest;
+    std::string m_result;
+    std::vector<std::string> m_seeds;
+    std::vector<std::unique_ptr<entry_node>> m_entries;
+    std::vector<std::unique_ptr<agent_node>> m_agents;
+    std::unordered_map<std::string, common *> m_byEndpoint;
+    std::map<std::uint64_t, job_answer> m_answers;
+    session_id m_session;
+    std::uint64_t m_nextRequest = 1;
+};
+
+/// @brief Sum over the kinds.
+[[nodiscard]] traffic total(const kind_table &table);
+
+/// @brief JSON object of a usage: CPU in microseconds, heap in bytes, messages and bytes in all and
+///        by kind.
+[[nodiscard]] boost::json::object toJson(const usage &used);
+
+} // namespace bamboohead::bench
--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -4,6 +4,7 @@
 #include "bamboohead/types.hpp"
 #include "bamboohead/wire.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,6 +22,16 @@
 ///        few round trips, and ZeroMQ refuses messages before it is up.
 inline constexpr duration connectGrace = std::chrono::milliseconds{500};
 
+/// @brief Messages of one kind and the bytes of their encoded envelopes, without framing.
+struct kind_traffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// @brief Traffic by message kind; the index is that of messageKinds.
+using traffic_by_kind = std::array<kind_traffic, messageKinds.size()>;
+
 /// @brief Counters of a transport, monotonic.
 struct transport_counters
 {
@@ -30,6 +41,8 @@
     std::uint64_t dropped = 0;   ///< not sent: queue full, peer unreachable or message too long
     std::uint64_t peersOpened = 0;
     std::uint64_t peersClosed = 0;
+    traffic_by_kind sentByKind;     ///< like `sent`, without messages that were dropped
+    traffic_by_kind receivedByKind; ///< like `received`
 };
 
 /// @brief What ended a wait.
--- a/include/bamboohead/wire.hpp
+++ b/include/bamboohead/wire.hpp
@@ -5,6 +5,10 @@
 
 #include "bamboohead.pb.h"
 
+#include <array>
+#include <cstdint>
+#include <string_view>
+
 namespace bamboohead {
 
 /// @brief Conversions between the identifiers of the decision code and their protobuf form.
@@ -27,4 +31,17 @@
     return static_cast<std::uint32_t>(kind);
 }
 
+/// @brief Names of the message kinds, as in the field names of the envelope's payload.
+inline constexpr std::array<std::string_view, 21> messageKinds{
+        "hello",        "member_list",      "entry_heartbeat", "agent_heartbeat", "start_tasks",
+        "task_updates", "update_ack",       "task_query",      "record_put",      "record_ack",
+        "record_close", "record_close_ack", "scope_update",    "scope_ack",       "fence_request",
+        "fence_report", "home_stopping",    "job_forward",     "job_reply",       "config_pull",
+        "config_push",
+};
+
+/// @brief Index into messageKinds of an envelope's payload.
+/// @return messageKinds.size() when the payload is missing or unknown.
+[[nodiscard]] std::size_t messageKind(const wire::Envelope &envelope) noexcept;
+
 } // namespace bamboohead
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -112,6 +112,42 @@
     Counters m_seen;
 };
 
+/// Messages and bytes of one direction, labelled by message kind; a kind appears with its first
+/// message.
+class traffic_group
+{
+public:
+    traffic_group(prometheus::Registry &registry, const std::string &direction)
+        : m_messages{prometheus::BuildCounter()
+                             .Name("bamboohead_kind_messages_" + direction + "_total")
+                             .Help("Messages by kind.")
+                             .Register(registry)}
+        , m_bytes{prometheus::BuildCounter()
+                          .Name("bamboohead_kind_bytes_" + direction + "_total")
+                          .Help("Bytes of encoded envelopes by message kind, without framing.")
+                          .Register(registry)}
+    {}
+
+    void update(const traffic_by_kind &traffic)
+    {
+        for (std::size_t kind = 0; kind < traffic.size(); ++kind) {
+            const auto messages = traffic[kind].messages - m_seen[kind].messages;
+            const auto bytes = traffic[kind].bytes - m_seen[kind].bytes;
+            if (messages != 0) {
+                const prometheus::Labels labels{{"kind", std::string{messageKinds[kind]}}};
+                m_messages.Add(labels).Increment(static_cast<double>(messages));
+                m_bytes.Add(labels).Increment(static_cast<double>(bytes));
+            }
+        }
+        m_seen = traffic;
+    }
+
+private:
+    prometheus::Family<prometheus::Counter> &m_messages;
+    prometheus::Family<prometheus::Counter> &m_bytes;
+    traffic_by_kind m_seen;
+};
+
 prometheus::Histogram::BucketBoundaries taskSeconds()
 {
     return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30};
@@ -144,6 +180,8 @@
     counter_group<entry_counters, entryRows.size()> entry{entryRows};
     counter_group<agent_counters, agentRows.size()> agent{agentRows};
     counter_group<transport_counters, transportRows.size()> messages{transportRows};
+    traffic_group sentTraffic{registry, "sent"};
+    traffic_group receivedTraffic{registry, "received"};
     prometheus::Histogram &response{
             makeHistogram(registry, "bamboohead_job_response_seconds",
                           "Time from the arrival of a submission to its answer.", taskSeconds())};
@@ -173,6 +211,8 @@
 void process_metrics::update(const transport_counters &counters)
 {
     m_impl->messages.update(m_impl->registry, counters);
+    m_impl->sentTraffic.update(counters.sentByKind);
+    m_impl->receivedTraffic.update(counters.receivedByKind);
 }
 
 void process_metrics::observeResponse(duration time)
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -26,6 +26,7 @@
 struct held_message
 {
     std::string payload;
+    std::size_t kind = 0; ///< index into messageKinds
     time_point since;
 };
 
@@ -82,11 +83,12 @@
             return;
         }
         target->lastUsed = m_clock.now();
+        const auto kind = messageKind(envelope);
         if (target->held.empty() && sendNow(target->socket, payload)) {
             target->connected = true;
-            ++m_counters.sent;
+            countSent(kind, payload.size());
         } else {
-            hold(*target, std::move(payload));
+            hold(*target, kind, std::move(payload));
         }
     }
 
@@ -168,7 +170,7 @@
 
     /// Keeps a message for the first connection; drops it when the connection was up before, since
     /// then the queue is full or the peer is lost.
-    void hold(peer &target, std::string payload)
+    void hold(peer &target, std::size_t kind, std::string payload)
     {
         const auto bytes = target.heldBytes + payload.size();
         if (target.connected || target.held.size() >= maxHeldMessages || bytes > maxHeldBytes) {
@@ -176,7 +178,7 @@
             return;
         }
         target.heldBytes = bytes;
-        target.held.push_back({std::move(payload), m_clock.now()});
+        target.held.push_back({std::move(payload), kind, m_clock.now()});
     }
 
     void flush(peer &target, time_point now)
@@ -185,7 +187,7 @@
             const auto &message = target.held.front();
             if (sendNow(target.socket, message.payload)) {
                 target.connected = true;
-                ++m_counters.sent;
+                countSent(message.kind, message.payload.size());
             } else if (now - message.since >= connectGrace) {
                 ++m_counters.dropped;
             } else {
@@ -196,6 +198,20 @@
         }
     }
 
+    void countSent(std::size_t kind, std::size_t bytes)
+    {
+        ++m_counters.sent;
+        count(m_counters.sentByKind, kind, bytes);
+    }
+
+    static void count(traffic_by_kind &traffic, std::size_t kind, std::size_t bytes)
+    {
+        if (kind < traffic.size()) {
+            ++traffic[kind].messages;
+            traffic[kind].bytes += bytes;
+        }
+    }
+
     bool receiveOne(const receiver &receive)
     {
         zmq::message_t identity;
@@ -215,6 +231,7 @@
             return true;
         }
         ++m_counters.received;
+        count(m_counters.receivedByKind, messageKind(envelope), payload.size());
         receive(envelope);
         return true;
     }
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -42,4 +42,13 @@
     return errorKindFromNumber(number).value_or(error_kind::internal);
 }
 
+std::size_t messageKind(const wire::Envelope &envelope) noexcept
+{
+    static_assert(messageKinds.size() == wire::Envelope::kConfigPush - wire::Envelope::kHello + 1);
+    const auto payload = envelope.payload_case();
+    return payload < wire::Envelope::kHello
+                   ? messageKinds.size()
+                   : static_cast<std::size_t>(payload - wire::Envelope::kHello);
+}
+
 } // namespace bamboohead
