--- a/bench/capacity_lib/page.py
+++ b/bench/capacity_lib/page.py
@@ -88,13 +88,13 @@
     pathlib.Path(path).write_text(text)
 
 
-def write(docs, slopes, conditions):
+def write(docs, slopes, process_rows, conditions):
     """Writes the plots and the page's tables."""
     docs = pathlib.Path(docs)
     for name, line in slopes.items():
         if "missing" not in line:
             plot(docs / "capacity" / f"{name}.svg", line["description"][:70], "x", name, line)
-    model = target.Model(slopes)
+    model = target.Model(slopes, process_rows)
     fill(docs / "CAPACITY.md", {
         "assumptions": assumptions(model, conditions), "summary": breaks(model),
         "entry": table(model.entry()), "agent": table(model.agent()),
