--- a/tests/schedule/fault_plan.cpp
+++ b/tests/schedule/fault_plan.cpp
@@ -68,7 +68,7 @@
         faults.lost = random().percent(50) ? random().below(worst) : 0;
         faults.duplicated = random().percent(50) ? random().below(worst) : 0;
         faults.delayed = random().percent(50) ? random().below(worst) : 0;
-        const duration delays[] = {50ms, 500ms, 3s, 60s};
+        const duration delays[] = {50ms, 500ms, 3s, 60s, 150s};
         faults.longestDelay = delays[random().below(std::size(delays))];
     }
 
@@ -164,6 +164,32 @@
     planner{network, window}.plan();
 }
 
+void planZoneOut(fake_network &network, const fault_window &window)
+{
+    auto &random = network.random();
+    const auto agents = network.endpoints(wire::ROLE_AGENT);
+    const auto agent = agents[random.below(agents.size())];
+    const auto zone = network.at(agent).zone;
+    const auto when = window.begin + random.between(2s, 8s);
+    const bool cut = random.percent(50);
+    const bool freeze = !cut || random.percent(30);
+    const bool storeDown = random.percent(30);
+    const auto before = when - random.between(0s, 1500ms);
+    network.at(before, [&network, zone, agent, cut, freeze] {
+        if (cut) {
+            network.cutZone(zone);
+        }
+        if (freeze) {
+            network.freeze(agent);
+        }
+    });
+    network.at(when, [&network, zone, storeDown] {
+        network.setZone(zone, false);
+        network.storeUp = !storeDown;
+    });
+    network.at(when + random.between(5s, 9s), [&network, agent] { network.thaw(agent); });
+}
+
 void healAll(fake_network &network)
 {
     network.messageFaults = {};
--- a/tests/schedule/schedule_run.cpp
+++ b/tests/schedule/schedule_run.cpp
@@ -14,10 +14,10 @@
 constexpr duration configSpread = 5s; ///< R9, after the end of faults
 constexpr duration answersDue = 30s;  ///< R4, after the end of faults
 /// Longest delay of a message and of a request, after which nothing old can arrive.
-constexpr duration lastDelivery = 61s;
+constexpr duration lastDelivery = 151s;
 
-constexpr std::array<std::string_view, 6> kindNames{"mixed", "calm",          "entry_killed",
-                                                    "lossy", "entry_stopped", "agent_stopped"};
+constexpr std::array<std::string_view, 7> kindNames{
+        "mixed", "calm", "entry_killed", "lossy", "entry_stopped", "agent_stopped", "zone_out"};
 
 class schedule_run
 {
@@ -74,8 +74,14 @@
             m_callerOptions.lateCopyPercent = 30;
             m_callerOptions.lateRequests = random.percent(30);
             m_callerOptions.deadline = random.percent(30) ? 5s : 60s;
+            m_callerOptions.jobs = 5 + random.below(15);
             planMixedFaults(m_network, window);
             break;
+        case run_kind::zone_out:
+            m_callerOptions.jobs = 40;
+            m_callerOptions.until = 14s;
+            planZoneOut(m_network, window);
+            break;
         case run_kind::calm:
             break;
         case run_kind::entry_killed:
@@ -111,7 +117,7 @@
 
     void checkKind(const callers &subjects)
     {
-        if (m_kind == run_kind::mixed) {
+        if (m_kind == run_kind::mixed || m_kind == run_kind::zone_out) {
             return;
         }
         for (const auto &[job, answer] : m_evidence.answers()) {
--- a/tests/schedule/schedule_run.hpp
+++ b/tests/schedule/schedule_run.hpp
@@ -15,6 +15,7 @@
     lossy,        ///< loss and short delays: no unknown outcome
     entry_stopped,
     agent_stopped,
+    zone_out, ///< a zone is taken out while it is cut off or some of it is frozen
 };
 
 [[nodiscard]] std::string_view toText(run_kind kind) noexcept;
--- a/tests/schedule_test.cpp
+++ b/tests/schedule_test.cpp
@@ -48,6 +48,12 @@
     runSeeds(run_kind::mixed, 1000);
 }
 
+// Guards against starts in a zone that is out, by processes that cannot know it (R3).
+TEST_CASE("schedule: zone_out runs stop the starts in the zone")
+{
+    runSeeds(run_kind::zone_out, 200);
+}
+
 // Guards against a fixture whose jobs fail anyway, so that the other runs would prove nothing.
 TEST_CASE("schedule: calm runs complete every job")
 {
