Build the options of entries and agents with checked builders

The adapters filled aggregates by hand, twice. Builders now name each part and refuse options without a usable identity with settings_invalid (Boost.LEAF). Both new tests pass; the second fails without the check.

--- a/src/adapters/agent_process.cpp
+++ b/src/adapters/agent_process.cpp
@@ -1,5 +1,6 @@
 #include "bamboohead/agent_core.hpp"
 #include "bamboohead/http_agent.hpp"
+#include "bamboohead/options_builder.hpp"
 #include "bamboohead/process.hpp"
 #include "process_parts.hpp"
 
@@ -14,11 +15,11 @@
 
 agent_options agentOptions(const process_settings &settings)
 {
-    agent_options options;
-    options.self = makeIdentity(settings, wire::ROLE_AGENT);
-    options.seeds = settings.seeds;
-    options.seed = seedOrRandom(settings.agent.seed);
-    return options;
+    auto builder = agent_options_builder{};
+    return identify(builder, settings)
+            .randomSeed(seedOrRandom(settings.agent.seed))
+            .build()
+            .value();
 }
 
 void feed(agent_core &core, process_metrics &metrics, const agent_input &next)
--- a/src/adapters/entry_process.cpp
+++ b/src/adapters/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "bamboohead/entry_core.hpp"
 #include "bamboohead/http_entry.hpp"
 #include "bamboohead/manifest_watcher.hpp"
+#include "bamboohead/options_builder.hpp"
 #include "bamboohead/process.hpp"
 #include "bamboohead/store_client.hpp"
 #include "process_parts.hpp"
@@ -13,12 +14,9 @@
 
 entry_options entryOptions(const process_settings &settings)
 {
-    entry_options options;
-    options.self = makeIdentity(settings, wire::ROLE_ENTRY);
-    options.seeds = settings.seeds;
-    options.seed = seedOrRandom(settings.entry.seed);
-    options.policy = settings.entry.policy;
-    return options;
+    auto builder = entry_options_builder{};
+    identify(builder, settings).randomSeed(seedOrRandom(settings.entry.seed));
+    return builder.policy(settings.entry.policy).build().value();
 }
 
 void feed(entry_core &core, entry_input next)
--- a/src/adapters/process_parts.cpp
+++ b/src/adapters/process_parts.cpp
@@ -17,16 +17,6 @@
     return setting != 0 ? setting : randomNumber();
 }
 
-process_identity makeIdentity(const process_settings &settings, wire::Role role)
-{
-    process_identity self;
-    self.incarnation = static_cast<incarnation_id>(randomNumber());
-    self.endpoint = settings.endpoint;
-    self.role = role;
-    self.zone = settings.zone;
-    return self;
-}
-
 void logStart(const process_identity &self, const http_settings &http)
 {
     logLine(log_level::info, "started",
--- a/src/adapters/process_parts.hpp
+++ b/src/adapters/process_parts.hpp
@@ -15,8 +15,15 @@
 /// @brief The setting, or a random seed when it is 0.
 [[nodiscard]] std::uint64_t seedOrRandom(std::uint64_t setting);
 
-/// @brief Identity of this run of the process.
-[[nodiscard]] process_identity makeIdentity(const process_settings &settings, wire::Role role);
+/// @brief Gives a builder the checked settings of the process and a new incarnation.
+template <typename Builder>
+Builder &identify(Builder &builder, const process_settings &settings)
+{
+    return builder.incarnation(incarnation_id{randomNumber()})
+            .endpoint(settings.endpoint)
+            .zone(settings.zone)
+            .seeds(settings.seeds);
+}
 
 /// @brief Writes the line that says what was started.
 void logStart(const process_identity &self, const http_settings &http);
--- /dev/null
+++ b/tests/options_builder_test.cpp
@@ -0,0 +1,46 @@
+#include "bamboohead/options_builder.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+
+using namespace bamboohead;
+
+namespace {
+
+template <typename Builder>
+error_kind errorOf(const Builder &builder)
+{
+    return boost::leaf::try_handle_all(
+            [&builder]() -> boost::leaf::result<error_kind> {
+                BOOST_LEAF_CHECK(builder.build());
+                return error_kind::none;
+            },
+            [](error_kind kind) { return kind; }, [] { return error_kind::internal; });
+}
+
+} // namespace
+
+TEST_CASE("a builder returns whole options")
+{
+    auto builder = entry_options_builder{};
+    builder.incarnation(incarnation_id{7}).endpoint("tcp://127.0.0.1:1").zone("graz");
+    builder.seeds({"tcp://127.0.0.1:2"}).randomSeed(3).policy(placement_policy::random).maxJobs(9);
+    const auto options = builder.build();
+    REQUIRE(options);
+    CHECK(options->self.role == wire::ROLE_ENTRY);
+    CHECK(options->seeds.size() == 1);
+    CHECK(options->seed == 3);
+    CHECK(options->policy == placement_policy::random);
+    CHECK(options->maxJobs == 9);
+}
+
+TEST_CASE("a builder rejects options without identity")
+{
+    // Guards against a process that peers cannot address or whose zone no manifest can name.
+    auto builder = agent_options_builder{};
+    CHECK(errorOf(builder) == error_kind::settings_invalid);
+    builder.incarnation(incarnation_id{7}).endpoint("tcp://127.0.0.1:1").zone("not a zone");
+    CHECK(errorOf(builder) == error_kind::settings_invalid);
+    builder.zone("graz");
+    CHECK(errorOf(builder) == error_kind::none);
+}
