--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -8,7 +8,7 @@
 . scripts/lib/workload.sh
 agents=4
 slots=4
-log_level=warning
+log_level="${LOG_LEVEL:-warning}"
 use_workload verband
 zone_grace_us=4500000 # R3: bound of docs/design.md 2.3 for starts in a zone taken out
 patience_s=30         # limit of each wait for a condition; a pass needs far less
@@ -79,6 +79,15 @@
     "$binary" manifest apply "examples/$workload/manifest.json" --store "$store" \
         --entries "$entry_list" >"$work/apply.out" 2>&1
     wait_for_targets
+    wait_until "all processes are current" all_current
+}
+
+all_current() {
+    local i
+    for ((i = 1; i <= entries + agents; i++)); do
+        state_of "127.0.0.1:$((i <= entries ? base + 10 + i : base + 100 + i - entries))" |
+            grep -q '"config_version":[0-9]*,"current":true' || return 1
+    done
 }
 
 entry_at() { echo "127.0.0.1:$((base + 10 + $1))"; }
@@ -156,6 +165,11 @@
     job_tasks=()
 }
 
+# Jobs in others that match a pattern.
+count_others() { # pattern
+    (grep -o -- "$1" <<<"$others" || true) | wc -l
+}
+
 starts_between() { # label or "all", from, to
     awk -v zone="$1" -v from="$2" -v to="$3" \
         '$1 >= from && $1 < to && (zone == "all" || $5 == zone) { n++ } END { print n + 0 }' \
