--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -31,6 +31,15 @@
             {"services", options.services}};
 }
 
+fleet_options sized(std::size_t entries, std::size_t agents, std::size_t teams = 3)
+{
+    fleet_options options;
+    options.entries = entries;
+    options.agents = agents;
+    options.teams = teams;
+    return options;
+}
+
 void add(json::object row)
 {
     std::cerr << row["experiment"] << " agents " << row["agents"] << " entries " << row["entries"]
@@ -242,6 +251,29 @@
     add(std::move(row));
 }
 
+/// Changes given to entry 0 at an even rate, as one build pipeline may send them.
+void burst(int changesPerSecond)
+{
+    auto options = sized(6, 64, 110);
+    options.agentPeriod = 50ms;
+    fleet made{options};
+    made.run(settleTime);
+    made.resetUsage();
+    constexpr int seconds = 5;
+    for (int i = 0; i < seconds * changesPerSecond; ++i) {
+        made.pushManifest(0);
+        made.run(duration{1s} / changesPerSecond);
+    }
+    auto row = describe("config_by_rate", options);
+    row["changes_per_second"] = changesPerSecond;
+    row["seconds"] = seconds;
+    row["entry"] = toJson(made.entryUsage(0));
+    row["all_agents"] = toJson(made.allAgents());
+    made.run(2s);
+    require(made.inForce(), "the last of many changes did not come into force");
+    add(std::move(row));
+}
+
 /// One agent is replaced while each entry is primary of homes with many backups.
 void replacement(std::string_view experiment, fleet_options options)
 {
@@ -272,15 +304,6 @@
     add(std::move(row));
 }
 
-fleet_options sized(std::size_t entries, std::size_t agents, std::size_t teams = 3)
-{
-    fleet_options options;
-    options.entries = entries;
-    options.agents = agents;
-    options.teams = teams;
-    return options;
-}
-
 void runAll()
 {
     for (const std::size_t agents : {16, 64, 256, 1024}) {
@@ -315,6 +338,9 @@
         takeover("takeover_by_agents", sized(2, agents), 50);
         configuration("config_by_agents", sized(6, agents));
     }
+    for (const int rate : {1, 2, 5, 10, 20}) {
+        burst(rate);
+    }
     for (const std::size_t entries : {4, 8, 16, 32}) {
         replacement("replacement_by_entries", sized(entries, 32));
     }
--- a/bench/capacity_lib/slopes.py
+++ b/bench/capacity_lib/slopes.py
@@ -101,7 +101,7 @@
     """Costs of takeovers, configuration changes and replacements on the cores."""
     by_jobs, by_agents = rows("takeover_by_jobs"), rows("takeover_by_agents")
     config_agents, config_teams = rows("config_by_agents"), rows("config_by_teams")
-    replaced = rows("replacement_by_entries")
+    replaced, rates = rows("replacement_by_entries"), rows("config_by_rate")
     return {
         "takeover_job_cpu": ("CPU us a job taken over (100 tasks), backup core, 3 s from the kill",
                              [(r["jobs"], net(r, "entry", "entry_idle_cpu_us")) for r in by_jobs]),
@@ -121,6 +121,11 @@
                                [(r["manifest_bytes"], kind(r["all_agents"], "received",
                                                            "config_push")
                                  / r["agents"] / r["changes"]) for r in config_teams]),
+        "config_rate_bytes": ("config bytes/s of an agent by changes/s, 110 teams; levels off",
+                              [(r["changes_per_second"],
+                                sum(kind(r["all_agents"], way, f"config_{name}")
+                                    for way in ("sent", "received") for name in ("pull", "push"))
+                                / r["agents"] / r["seconds"]) for r in rates]),
         "config_team_bytes": ("bytes of the manifest a team",
                               [(r["teams"], r["manifest_bytes"]) for r in config_teams]),
         "config_agent_ms": ("ms until in force in all cores, by agents (10 ms a hop)",
