--- a/bench/capacity_lib/slopes.py
+++ b/bench/capacity_lib/slopes.py
@@ -61,7 +61,7 @@
     answers, records = rows("answers_by_jobs"), rows("records")
     outcomes = rows("outcomes_by_jobs")
     return {
-        "core_job_cpu": ("CPU us a task, control threads' cores of both entries of the home, a job of x tasks",
+        "core_job_cpu": ("CPU us a task, cores of both entries of the home, a job of x tasks",
                          [(r["tasks"], (net(r, "entry", "entry_idle_cpu_us")
                                         + net(r, "backup", "backup_idle_cpu_us")) / r["jobs"])
                           for r in tasks]),
@@ -91,7 +91,7 @@
         "outcome_heap": ("heap bytes left an ended job of 1 task, answer expired, both entries",
                          [(r["jobs"], r["entry_heap_after_bytes"] + r["backup_heap_after_bytes"])
                           for r in outcomes]),
-        "outcome_heap_100": ("the same for jobs of 100 tasks, 71 s after the last; older jobs leave less",
+        "outcome_heap_100": ("the same for jobs of 100 tasks, 71 s after the last job",
                              [(r["jobs"], r["entry_heap_after_bytes"]
                                + r["backup_heap_after_bytes"]) for r in answers]),
     }
@@ -101,7 +101,7 @@
     """Costs of takeovers, configuration changes and replacements on the cores."""
     by_jobs, by_agents = rows("takeover_by_jobs"), rows("takeover_by_agents")
     config_agents, config_teams = rows("config_by_agents"), rows("config_by_teams")
-    replaced = rows("replacement_by_entries")
+    replaced, rates = rows("replacement_by_entries"), rows("config_by_rate")
     return {
         "takeover_job_cpu": ("CPU us a job taken over (100 tasks), backup core, 3 s from the kill",
                              [(r["jobs"], net(r, "entry", "entry_idle_cpu_us")) for r in by_jobs]),
@@ -109,8 +109,9 @@
                                     [(r["agents"], kind(r["entry"], "sent", "fence_request", 0)
                                       + kind(r["entry"], "received", "fence_report", 0))
                                      for r in by_agents]),
-        "takeover_agent_cpu": ("CPU us an agent in the scope, backup core, 50 jobs, 3 s from the kill",
-                               [(r["agents"], net(r, "entry", "entry_idle_cpu_us")) for r in by_agents]),
+        "takeover_agent_cpu": ("CPU us an agent in the scope, backup core, 3 s from the kill",
+                               [(r["agents"], net(r, "entry", "entry_idle_cpu_us"))
+                                for r in by_agents]),
         "config_agent_messages": ("config messages an agent for a change, all agents",
                                   [(r["agents"], (kind(r["all_agents"], "sent", "config_pull", 0)
                                                   + kind(r["all_agents"], "received",
@@ -120,6 +121,11 @@
                                [(r["manifest_bytes"], kind(r["all_agents"], "received",
                                                            "config_push")
                                  / r["agents"] / r["changes"]) for r in config_teams]),
+        "config_rate_bytes": ("config bytes/s of an agent by changes/s, 110 teams; levels off",
+                              [(r["changes_per_second"],
+                                sum(kind(r["all_agents"], way, f"config_{name}")
+                                    for way in ("sent", "received") for name in ("pull", "push"))
+                                / r["agents"] / r["seconds"]) for r in rates]),
         "config_team_bytes": ("bytes of the manifest a team",
                               [(r["teams"], r["manifest_bytes"]) for r in config_teams]),
         "config_agent_ms": ("ms until in force in all cores, by agents (10 ms a hop)",
