--- a/tests/fuzz/fuzz_agent.cpp
+++ b/tests/fuzz/fuzz_agent.cpp
@@ -96,7 +96,7 @@
         require(task.payload.size() <= maxPayloadBytes, "payload");
         require(task.ref.task < maxTasksPerJob, "task number");
         require(task.timeout > duration{} && task.timeout <= longestTimeout, "timeout");
-        const auto name = std::pair{task.ref.job, task.ref.task};
+        const auto name = toText(task.ref.job) + "/" + std::to_string(task.ref.task);
         require(m_started.insert(name).second, "a task started twice");
         m_running.push_back(task.ref);
     }
@@ -113,7 +113,7 @@
 
     manual_clock m_clock;
     agent_core m_core;
-    std::set<std::pair<job_id, std::uint32_t>> m_started;
+    std::set<std::string> m_started; ///< job and task
     std::vector<task_ref> m_running;
 };
 
