Check the limits of jobs in the entry's fuzz target apart from withinLimits()

Cause: the target asked withinLimits() whether an input is out of limits, so a broken withinLimits() went unseen. No invariant sees the bound of the run time; long_run guards against a crash only.

--- a/tests/fuzz/fuzz_entry.cpp
+++ b/tests/fuzz/fuzz_entry.cpp
@@ -14,6 +14,16 @@
 constexpr std::uint32_t ownSlots = 4;
 constexpr duration silence = std::chrono::seconds{3};
 
+/// Written apart from withinLimits(), which is under test.
+bool outOfLimits(const wire::JobSubmission &job)
+{
+    bool result = job.tasks_size() == 0 || job.tasks_size() > 1200;
+    for (const auto &task : job.tasks()) {
+        result = result || task.payload().size() > 4096;
+    }
+    return result;
+}
+
 /// An entry with a backup, an agent and one job, before the messages of an input arrive.
 class entry_under_test
 {
@@ -132,11 +142,11 @@
 
     void checkJobLimits(const wire::Envelope &envelope, std::uint64_t heldBefore)
     {
-        if (envelope.has_record_put() && !withinLimits(envelope.record_put().job())) {
+        if (envelope.has_record_put() && outOfLimits(envelope.record_put().job())) {
             require(!m_acknowledged, "a record out of limits");
         }
         const auto &forward = envelope.job_forward();
-        if (envelope.has_job_forward() && forward.verb() == 1 && !withinLimits(forward.job())) {
+        if (envelope.has_job_forward() && forward.verb() == 1 && outOfLimits(forward.job())) {
             require(unfinishedJobs() <= heldBefore, "a job out of limits");
         }
     }
