--- a/include/bamboohead/agent_core.hpp
+++ b/include/bamboohead/agent_core.hpp
@@ -51,6 +51,8 @@
     std::uint64_t tasksFinished = 0;
     std::uint64_t tasksFailed = 0;
     std::uint64_t ordersRefused = 0;
+    std::uint64_t reportsRepeated = 0; ///< ends of tasks told again for want of an acknowledgement
+    std::uint64_t recalls = 0;         ///< heartbeats sent only to recall credits
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesReceived = 0;
     std::uint64_t messagesDropped = 0;
--- a/include/bamboohead/detail/agent/agent_implementation.hpp
+++ b/include/bamboohead/detail/agent/agent_implementation.hpp
@@ -33,6 +33,9 @@
 inline constexpr duration lonelyHelloInterval = std::chrono::seconds{1};
 /// @brief Least time between two requests for the configuration.
 inline constexpr duration pullInterval = std::chrono::milliseconds{250};
+/// @brief Waiting orders above which orders without credits are refused. Only the baselines of
+///        placement, which know no credits, send such orders.
+inline constexpr std::size_t maxUncreditedQueue = 1000;
 /// @brief How long a stopping agent waits for acknowledgements after its last task.
 inline constexpr duration stopGrace = std::chrono::seconds{5};
 /// @brief Updates and bytes above which a batch is sent at once.
@@ -96,6 +99,7 @@
     // Orders
     void handleOrder(const wire::TaskOrder &order, wire::Owner owner, bool covered,
                      const origin &from);
+    [[nodiscard]] bool mayQueueUncredited(const wire::StartTasks &start) const;
     [[nodiscard]] bool fencedOff(const job_home &home, const origin &from) const;
     [[nodiscard]] bool ownerMaySend(const job_home &home, wire::Owner owner,
                                     incarnation_id sender) const;
--- a/include/bamboohead/entry_core.hpp
+++ b/include/bamboohead/entry_core.hpp
@@ -35,6 +35,7 @@
     std::uint64_t jobsRefused = 0;
     std::uint64_t ordersSent = 0;
     std::uint64_t ordersRefused = 0;
+    std::uint64_t updatesDuplicate = 0; ///< ends of tasks that had been told before
     std::uint64_t takeovers = 0;
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesReceived = 0;
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -25,11 +25,17 @@
     auto remaining = static_cast<std::uint64_t>(start.orders_size());
     for (const auto &order : start.orders()) {
         // The newest uses are the ones that no credit covers.
-        handleOrder(order, start.owner(), remaining > uncovered, from);
+        const bool covered = remaining > uncovered && m_credits.mayHold();
+        handleOrder(order, start.owner(), covered || mayQueueUncredited(start), from);
         --remaining;
     }
 }
 
+bool agent_core::implementation::mayQueueUncredited(const wire::StartTasks &start) const
+{
+    return start.uncredited() && m_tasks.queued() < maxUncreditedQueue;
+}
+
 void agent_core::implementation::handleOrder(const wire::TaskOrder &order, wire::Owner owner,
                                              bool covered, const origin &from)
 {
@@ -90,7 +96,7 @@
     if (obstacle != error_kind::none) {
         return obstacle;
     }
-    if (!covered || !m_credits.mayHold()) {
+    if (!covered) {
         return error_kind::no_credit;
     }
     return m_tasks.hasRoom(order.payload().size()) ? error_kind::none : error_kind::overloaded;
--- a/src/agent/agent_outbox.cpp
+++ b/src/agent/agent_outbox.cpp
@@ -104,6 +104,7 @@
     for (const auto *order : m_tasks.dueReports(m_clock.now())) {
         // A silent destination is not worth messages; the report waits until it is heard again.
         if (m_links.alive(order->destination, linkSilenceLimit)) {
+            ++m_counters.reportsRepeated;
             report(*order);
         }
     }
@@ -146,6 +147,7 @@
             sendUpdates(entry, box);
         }
         if (box.heartbeatDue || line.recallUrgent || (creditsDue && !withUpdates)) {
+            m_counters.recalls += !box.heartbeatDue && line.recallUrgent ? 1 : 0;
             sendHeartbeat(entry, box);
         }
     }
--- /dev/null
+++ b/src/commands/load_client.cpp
@@ -0,0 +1,293 @@
+#include "load_client.hpp"
+
+#include "bamboohead/types.hpp"
+
+#include <boost/json.hpp>
+#include <httplib.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <stdexcept>
+#include <thread>
+
+namespace bamboohead {
+
+namespace json = boost::json;
+
+using detail::job_outcome;
+using detail::job_result;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::seconds connectLimit{1};
+constexpr std::chrono::seconds sessionLimit{5};
+/// Resubmission goes on this long after the job's deadline.
+constexpr std::chrono::seconds resubmitGrace{10};
+constexpr std::chrono::milliseconds retryInterval{200};
+/// An entry that refused a connection gets no new job for this long.
+constexpr std::chrono::seconds avoidTime{2};
+
+/// Runs each function at once on a thread of its own; threads are kept for later functions.
+class thread_group
+{
+public:
+    ~thread_group()
+    {
+        {
+            const std::lock_guard lock{m_mutex};
+            m_stopping = true;
+        }
+        m_changed.notify_all();
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    void run(std::function<void()> function)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_waiting.push_back(std::move(function));
+        if (m_idle < m_waiting.size()) {
+            m_threads.emplace_back([this] { serve(); });
+        } else {
+            m_changed.notify_one();
+        }
+    }
+
+private:
+    void serve()
+    {
+        std::unique_lock lock{m_mutex};
+        while (true) {
+            ++m_idle;
+            m_changed.wait(lock, [this] { return m_stopping || !m_waiting.empty(); });
+            --m_idle;
+            if (m_waiting.empty()) {
+                return;
+            }
+            const auto function = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            lock.unlock();
+            function();
+            lock.lock();
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_waiting;
+    std::size_t m_idle = 0;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+/// One entry: its session and idle connections.
+class entry_link
+{
+public:
+    explicit entry_link(std::string address)
+        : m_address{std::move(address)}
+    {}
+
+    bool openSession()
+    {
+        const auto client = take();
+        client->set_read_timeout(sessionLimit);
+        const auto response = client->Post("/v1/sessions");
+        json::error_code error;
+        const auto body = response ? json::parse(response->body, error) : json::value{};
+        const auto *const object = error ? nullptr : body.if_object();
+        const auto *const text = object != nullptr ? object->if_contains("session") : nullptr;
+        if (text != nullptr && text->is_string()) {
+            m_session = parseSessionId(text->get_string().c_str());
+        }
+        return m_session.has_value();
+    }
+
+    [[nodiscard]] bool hasSession() const { return m_session.has_value(); }
+
+    [[nodiscard]] bool usable() const { return m_session && steady::now() >= m_avoidUntil.load(); }
+
+    void avoid() { m_avoidUntil = steady::now() + avoidTime; }
+
+    std::string nextJobId() { return toText(job_id{*m_session, ++m_lastJob}); }
+
+    std::unique_ptr<httplib::Client> take()
+    {
+        {
+            const std::lock_guard lock{m_mutex};
+            if (!m_clients.empty()) {
+                auto client = std::move(m_clients.back());
+                m_clients.pop_back();
+                return client;
+            }
+        }
+        auto client = std::make_unique<httplib::Client>("http://" + m_address);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_connection_timeout(connectLimit);
+        return client;
+    }
+
+    void giveBack(std::unique_ptr<httplib::Client> client)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_clients.push_back(std::move(client));
+    }
+
+private:
+    std::string m_address;
+    std::optional<session_id> m_session;
+    std::atomic<std::uint64_t> m_lastJob = 0;
+    std::atomic<steady::time_point> m_avoidUntil{steady::time_point{}};
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<httplib::Client>> m_clients;
+};
+
+std::string bodyOf(const detail::job_class &kind, const detail::planned_job &job,
+                   const std::string &id)
+{
+    json::array tasks;
+    for (const auto runTime : job.runTimes) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(runTime).count();
+        tasks.push_back(json::object{{"payload", "run_ms=" + std::to_string(ms)}});
+    }
+    const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(kind.deadline);
+    return json::serialize(json::object{{"id", id},
+                                        {"team", kind.team},
+                                        {"service", kind.service},
+                                        {"deadline_ms", deadline.count()},
+                                        {"idempotent", kind.idempotent},
+                                        {"tasks", std::move(tasks)}});
+}
+
+/// Outcome and kind from an answer's body; a complete answer must have a result for each task.
+job_outcome readAnswer(const std::string &body, std::size_t tasks)
+{
+    job_outcome outcome;
+    outcome.kind = "malformed_answer";
+    json::error_code error;
+    const auto value = json::parse(body, error);
+    const auto *const answer = error ? nullptr : value.if_object();
+    const auto *const text = answer != nullptr ? answer->if_contains("outcome") : nullptr;
+    if (text != nullptr && *text == "complete") {
+        const auto *const results = answer->if_contains("results");
+        const bool whole =
+                results != nullptr && results->is_array() && results->get_array().size() == tasks;
+        outcome.result = whole ? job_result::complete : job_result::failed;
+        outcome.kind = whole ? "" : "partial_answer";
+        return outcome;
+    }
+    const auto *const cause = answer != nullptr ? answer->if_contains("error") : nullptr;
+    const auto *const object = cause != nullptr ? cause->if_object() : nullptr;
+    const auto *const kind = object != nullptr ? object->if_contains("kind") : nullptr;
+    if (kind != nullptr && kind->is_string()) {
+        outcome.kind = kind->get_string();
+    }
+    const bool refused = text != nullptr && *text == "refused";
+    outcome.result = refused ? job_result::refused : job_result::failed;
+    return outcome;
+}
+
+} // namespace
+
+class load_client::implementation
+{
+public:
+    explicit implementation(const std::vector<std::string> &entries)
+    {
+        bool any = false;
+        for (const auto &address : entries) {
+            m_links.push_back(std::make_unique<entry_link>(address));
+            any = m_links.back()->openSession() || any;
+        }
+        if (!any) {
+            throw std::runtime_error{"no entry granted a session"};
+        }
+    }
+
+    job_outcome submit(const detail::job_class &kind, const detail::planned_job &job,
+                       std::size_t number, steady::time_point start)
+    {
+        const auto sent = steady::now() - start;
+        const auto first = chooseLink(number);
+        const auto body = bodyOf(kind, job, m_links[first]->nextJobId());
+        const auto limit = steady::now() + kind.deadline + resubmitGrace;
+        job_outcome outcome;
+        outcome.kind = "no_answer";
+        for (auto link = first; steady::now() < limit; link = (link + 1) % m_links.size()) {
+            if (const auto answer = post(*m_links[link], body, limit)) {
+                outcome = readAnswer(*answer, job.runTimes.size());
+                break;
+            }
+            std::this_thread::sleep_for(retryInterval);
+        }
+        outcome.sent = std::chrono::duration_cast<duration>(sent);
+        outcome.answered = std::chrono::duration_cast<duration>(steady::now() - start);
+        return outcome;
+    }
+
+private:
+    std::size_t chooseLink(std::size_t number)
+    {
+        for (std::size_t i = 0; i < m_links.size(); ++i) {
+            const auto link = (number + i) % m_links.size();
+            if (m_links[link]->usable()) {
+                return link;
+            }
+        }
+        // All entries failed of late: any with a session.
+        auto link = number % m_links.size();
+        while (!m_links[link]->hasSession()) {
+            link = (link + 1) % m_links.size();
+        }
+        return link;
+    }
+
+    static std::optional<std::string> post(entry_link &link, const std::string &body,
+                                           steady::time_point limit)
+    {
+        auto client = link.take();
+        client->set_read_timeout(
+                std::chrono::ceil<std::chrono::milliseconds>(limit - steady::now()));
+        const auto response = client->Post("/v1/jobs", body, "application/json");
+        if (!response) {
+            link.avoid();
+            return std::nullopt;
+        }
+        link.giveBack(std::move(client));
+        return response->body;
+    }
+
+    std::vector<std::unique_ptr<entry_link>> m_links;
+};
+
+load_client::load_client(std::vector<std::string> entries)
+    : m_impl{std::make_unique<implementation>(entries)}
+{}
+
+load_client::~load_client() = default;
+
+std::vector<job_outcome> load_client::run(const detail::job_mix &mix,
+                                          const std::vector<detail::planned_job> &jobs,
+                                          steady::time_point start)
+{
+    std::vector<job_outcome> outcomes(jobs.size());
+    {
+        thread_group threads; // its destructor waits for the answers
+        for (std::size_t i = 0; i < jobs.size(); ++i) {
+            std::this_thread::sleep_until(start + jobs[i].at);
+            threads.run([this, i, start, &mix, &jobs, &outcomes] {
+                outcomes[i] = m_impl->submit(mix.classes[jobs[i].kind], jobs[i], i, start);
+            });
+        }
+    }
+    return outcomes;
+}
+
+} // namespace bamboohead
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -21,6 +21,7 @@
         subcommand{"manifest", "check, print or apply the manifest", bamboohead::manifestCommand},
         subcommand{"zone", "take a zone out of service or back in", bamboohead::zoneCommand},
         subcommand{"state", "print the state of a process", bamboohead::stateCommand},
+        subcommand{"load", "measure the response to a mix of jobs", bamboohead::loadCommand},
         subcommand{"settings", "print the reference of all settings", bamboohead::settingsCommand},
 };
 
--- a/src/commands/manifest_change.hpp
+++ b/src/commands/manifest_change.hpp
@@ -47,6 +47,10 @@
 /// @return An exit_code.
 int pushManifest(const change_options &options, const std::string &text, config_version version);
 
+/// @brief Takes a zone out of service or back in, and waits until the change is in force.
+/// @return An exit_code.
+int changeZone(const change_options &options, const std::string &zone, zone_state state);
+
 /// @brief Prints the faults of a manifest, one a line.
 void printFaults(const std::string &source, const std::vector<config_fault> &faults);
 
--- a/src/commands/zone.cpp
+++ b/src/commands/zone.cpp
@@ -5,8 +5,6 @@
 
 namespace bamboohead {
 
-namespace {
-
 int changeZone(const change_options &options, const std::string &zone, zone_state state)
 {
     const auto store = makeToolClient(options);
@@ -33,6 +31,8 @@
     return changeManifest(*store, options, text, held.modified);
 }
 
+namespace {
+
 int changeZone(int argc, char **argv, zone_state state)
 {
     return runCommand(argc, argv, "Takes an availability zone out of service or back in.",
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -173,6 +173,7 @@
             start.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
             start.set_credit_epoch(usage.epoch);
             start.set_used_total(usage.usedTotal);
+            start.set_uncredited(m_ctx.options.policy != placement_policy::credits);
             fillDemand(*start.mutable_demand());
             m_ctx.out.send(incarnation, std::move(envelope));
         }
--- a/src/entry/order_tracker.cpp
+++ b/src/entry/order_tracker.cpp
@@ -100,6 +100,8 @@
     const bool current = task.phase == task_phase::ordered && task.agent == sender &&
                          task.attempt == ref.attempt;
     if (!current) {
+        const bool told = task.phase == task_phase::finished && task.agent == sender;
+        m_ctx.counters.updatesDuplicate += told ? 1 : 0;
         return;
     }
     if (failed) {
