Carry acknowledgements and currency proofs with orders; recall credits only for a free slot

Change: an entry's acknowledgements wait up to 150 ms for orders to the agent; orders carry the age of the currency proof and stand in for a heartbeat; an acceptance waits 1 s instead of 100 ms (entries ask after 1.5 s); an urgent recall is sent only when the agent has a free slot. Tests wait for the delayed acknowledgements.

--- a/include/bamboohead/detail/agent/agent_implementation.hpp
+++ b/include/bamboohead/detail/agent/agent_implementation.hpp
@@ -26,9 +26,10 @@
 /// @brief Longest time between two full heartbeats when other messages carry the stamps; makes up
 ///        for the loss of a heartbeat that told a state change.
 inline constexpr duration fullHeartbeatInterval = std::chrono::seconds{2};
-/// @brief How long an acceptance waits for another message to the same entry. Most short tasks end
-///        within it, so that their acceptance needs no message of its own.
-inline constexpr duration acceptanceDelay = std::chrono::milliseconds{100};
+/// @brief How long an acceptance waits for another message to the same entry. Most tasks end within
+///        it, so that their acceptance needs no message of its own. Entries ask for orders without
+///        an update after 1.5 s.
+inline constexpr duration acceptanceDelay = std::chrono::seconds{1};
 /// @brief Interval between greetings of the seeds while no entry answers.
 inline constexpr duration lonelyHelloInterval = std::chrono::seconds{1};
 /// @brief Least time between two requests for the configuration.
@@ -87,10 +88,12 @@
     // Messages
     void dispatch(const wire::Envelope &envelope, const origin &from);
     void onEntryHeartbeat(const wire::EntryHeartbeat &heartbeat, const origin &from);
+    void proofHeard(config_version version, std::uint64_t ageMicroseconds, const origin &from);
     void onConfigPush(const wire::ConfigPush &push);
     void onConfigPull(const wire::ConfigPull &pull, const origin &from);
     void onStartTasks(const wire::StartTasks &start, const origin &from);
-    void onUpdateAck(const wire::UpdateAck &ack, const origin &from);
+    void onAcknowledged(const google::protobuf::RepeatedPtrField<wire::TaskRef> &refs,
+                        const origin &from);
     void onTaskQuery(const wire::TaskQuery &query, const origin &from);
     void onFenceRequest(const wire::FenceRequest &request, const origin &from);
     void onDemand(const google::protobuf::RepeatedPtrField<wire::Demand> &demands,
--- a/include/bamboohead/detail/entry/agent_table.hpp
+++ b/include/bamboohead/detail/entry/agent_table.hpp
@@ -21,7 +21,9 @@
     bool demandTold = false;
     std::uint64_t checkedRound = 0; ///< dispatch round of `usableNow`
     bool usableNow = false;
-    agent_orders orders; ///< sent and not ended
+    agent_orders orders;  ///< sent and not ended
+    wire::UpdateAck acks; ///< waiting for orders to the agent, which carry them
+    time_point acksSince; ///< arrival of the oldest of `acks`
 };
 
 /// @brief Known entries' state from their heartbeats.
--- a/include/bamboohead/detail/entry/limits.hpp
+++ b/include/bamboohead/detail/entry/limits.hpp
@@ -40,6 +40,9 @@
 // Orders
 
 inline constexpr duration orderSilenceLimit = std::chrono::milliseconds{1500};
+/// @brief How long acknowledgements wait for orders to the same agent. Together with the sweep of
+///        100 ms it is well below the 500 ms after which the agent repeats its report.
+inline constexpr duration ackDelay = std::chrono::milliseconds{150};
 inline constexpr duration queryInterval = std::chrono::milliseconds{500};
 /// @brief An agent that refused an order gets no further ones for this time; an order sent before
 ///        its next report would be refused for the same reason.
--- a/include/bamboohead/detail/entry/order_tracker.hpp
+++ b/include/bamboohead/detail/entry/order_tracker.hpp
@@ -26,6 +26,9 @@
     void tick();
 
 private:
+    /// @brief Notes that a report has arrived, to be told with the next orders to the agent.
+    void acknowledge(incarnation_id agent, const wire::TaskRef &ref);
+    void sendAcks();
     /// @brief Whether a takeover still needs the agent's report of this task; the update must not
     ///        be acknowledged, so that the agent sends it again.
     [[nodiscard]] bool precedesReport(const task_ref &ref);
--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -4,10 +4,12 @@
 #include "bamboohead/types.hpp"
 #include "bamboohead/wire.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bamboohead {
 
@@ -21,9 +23,17 @@
 ///        few round trips, and ZeroMQ refuses messages before it is up.
 inline constexpr duration connectGrace = std::chrono::milliseconds{500};
 
+/// @brief Upper limit of the numbers of payload kinds in an envelope.
+inline constexpr std::size_t payloadKinds = 64;
+
+/// @brief Name of an envelope's payload kind by its field number; empty when there is none.
+[[nodiscard]] std::string_view payloadName(std::size_t kind) noexcept;
+
 /// @brief Counters of a transport, monotonic.
 struct transport_counters
 {
+    /// Messages passed to send(), by the payload's field number.
+    std::array<std::uint64_t, payloadKinds> byPayload{};
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t malformed = 0; ///< received, not an envelope
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -119,6 +119,35 @@
     Counters m_seen;
 };
 
+/// Messages sent, a counter for each kind of payload.
+class payload_counters
+{
+public:
+    void update(prometheus::Registry &registry, const transport_counters &counters)
+    {
+        for (std::size_t kind = 0; kind < payloadKinds; ++kind) {
+            const auto grown = counters.byPayload.at(kind) - m_seen.at(kind);
+            if (grown != 0) {
+                family(registry)
+                        .Add({{"kind", std::string{payloadName(kind)}}})
+                        .Increment(static_cast<double>(grown));
+            }
+        }
+        m_seen = counters.byPayload;
+    }
+
+private:
+    static prometheus::Family<prometheus::Counter> &family(prometheus::Registry &registry)
+    {
+        return prometheus::BuildCounter()
+                .Name("bamboohead_messages_by_kind_total")
+                .Help("Messages given to the transport, by kind.")
+                .Register(registry);
+    }
+
+    std::array<std::uint64_t, payloadKinds> m_seen{};
+};
+
 prometheus::Histogram::BucketBoundaries taskSeconds()
 {
     return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30};
@@ -151,6 +180,7 @@
     counter_group<entry_counters, entryRows.size()> entry{entryRows};
     counter_group<agent_counters, agentRows.size()> agent{agentRows};
     counter_group<transport_counters, transportRows.size()> messages{transportRows};
+    payload_counters payloads;
     prometheus::Histogram &response{
             makeHistogram(registry, "bamboohead_job_response_seconds",
                           "Time from the arrival of a submission to its answer.", taskSeconds())};
@@ -180,6 +210,7 @@
 void process_metrics::update(const transport_counters &counters)
 {
     m_impl->messages.update(m_impl->registry, counters);
+    m_impl->payloads.update(m_impl->registry, counters);
 }
 
 void process_metrics::observeResponse(duration time)
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -75,6 +75,7 @@
 
     void send(const std::string &endpoint, const wire::Envelope &envelope)
     {
+        ++m_counters.byPayload.at(static_cast<std::size_t>(envelope.payload_case()));
         auto payload = envelope.SerializeAsString();
         auto *const target = payload.size() <= maxMessageBytes ? open(endpoint) : nullptr;
         if (target == nullptr) {
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -101,7 +101,7 @@
         onStartTasks(envelope.start_tasks(), from);
         break;
     case wire::Envelope::kUpdateAck:
-        onUpdateAck(envelope.update_ack(), from);
+        onAcknowledged(envelope.update_ack().refs(), from);
         break;
     case wire::Envelope::kTaskQuery:
         onTaskQuery(envelope.task_query(), from);
@@ -135,15 +135,22 @@
     if (version > m_config.version()) {
         pullConfig(from.sender);
     }
-    // A version that differs from the held one proves nothing about the held one.
-    if (heartbeat.current() && version == m_config.version() && from.fresh(currencyLimit)) {
-        m_config.currentEntryHeard(m_clock.now() - *from.age,
-                                   durationFromWire(heartbeat.currency_age_us()));
+    if (heartbeat.current()) {
+        proofHeard(version, heartbeat.currency_age_us(), from);
     }
     m_credits.use(from.sender, heartbeat.credit_epoch(), heartbeat.used_total());
     onDemand(heartbeat.demand(), from);
 }
 
+void agent_core::implementation::proofHeard(config_version version, std::uint64_t ageMicroseconds,
+                                            const origin &from)
+{
+    // A version that differs from the held one proves nothing about the held one.
+    if (version == m_config.version() && from.fresh(currencyLimit)) {
+        m_config.currentEntryHeard(m_clock.now() - *from.age, durationFromWire(ageMicroseconds));
+    }
+}
+
 void agent_core::implementation::onDemand(
         const google::protobuf::RepeatedPtrField<wire::Demand> &demands, const origin &from)
 {
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -20,7 +20,10 @@
     if (config_version{start.config_version()} > m_config.version()) {
         pullConfig(from.sender);
     }
+    // Orders come from current entries only, so they carry the proof as heartbeats do.
+    proofHeard(config_version{start.config_version()}, start.currency_age_us(), from);
     onDemand(start.demand(), from);
+    onAcknowledged(start.acked(), from);
     const auto uncovered = m_credits.use(from.sender, start.credit_epoch(), start.used_total());
     auto remaining = static_cast<std::uint64_t>(start.orders_size());
     for (const auto &order : start.orders()) {
@@ -126,9 +129,10 @@
     return deadline > m_clock.now() ? error_kind::none : error_kind::deadline_exceeded;
 }
 
-void agent_core::implementation::onUpdateAck(const wire::UpdateAck &ack, const origin &from)
+void agent_core::implementation::onAcknowledged(
+        const google::protobuf::RepeatedPtrField<wire::TaskRef> &refs, const origin &from)
 {
-    for (const auto &wireRef : ack.refs()) {
+    for (const auto &wireRef : refs) {
         auto *order = m_tasks.find(fromWire(wireRef));
         // A fenced primary cannot acknowledge for the backup.
         if (order != nullptr && order->ended() && order->destination == from.sender) {
--- a/src/agent/credit_ledger.cpp
+++ b/src/agent/credit_ledger.cpp
@@ -146,6 +146,8 @@
 void credit_ledger::markRecalls()
 {
     const bool othersWait = oldestUnmet() != nullptr;
+    // With all slots busy another entry's task could not start sooner by a recalled credit.
+    const bool slotFree = m_held + excessOrders < m_limit;
     const auto *fewest = fewestCredits();
     for (auto &[entry, account] : m_accounts) {
         auto &line = account.line;
@@ -154,7 +156,7 @@
         const bool uneven =
                 fewest != nullptr && line.outstanding() > fewest->line.outstanding() + 1;
         const bool recall = idle && (othersWait || uneven);
-        line.recallUrgent = recall && othersWait && (!line.recall || line.recallUrgent);
+        line.recallUrgent = recall && othersWait && slotFree && (!line.recall || line.recallUrgent);
         line.recall = recall;
     }
 }
--- a/src/commands/load.cpp
+++ b/src/commands/load.cpp
@@ -62,7 +62,7 @@
 
     TCLAP::CmdLine &m_line;
     text_argument m_entries{"",    "entries", "HTTP addresses of entries, used in turn.",
-                            true,  "",        "HOST:PORT[,HOST:PORT]",
+                            false, "",        "HOST:PORT[,HOST:PORT]",
                             m_line};
     text_argument m_agents{"",    "agents", "HTTP addresses of agents, to read their counters.",
                            false, "",       "HOST:PORT[,HOST:PORT]",
--- a/src/commands/load_monitor.cpp
+++ b/src/commands/load_monitor.cpp
@@ -50,8 +50,8 @@
     std::istringstream lines{*text};
     for (std::string line; std::getline(lines, line);) {
         const auto space = line.find(' ');
-        const bool plain = !line.starts_with('#') && line.find('{') == std::string::npos;
-        if (plain && space != std::string::npos) {
+        const bool counted = !line.starts_with('#') && line.find("_bucket{") == std::string::npos;
+        if (counted && space != std::string::npos) {
             from.values[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
         }
     }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -167,13 +167,20 @@
     for (auto &[incarnation, batches] : m_batches) {
         auto &agent = m_ctx.agents.find(incarnation)->second;
         agent.demandTold = hasDemand(agent.load.service);
+        if (!m_ctx.draining) {
+            agent.heartbeatSent = m_ctx.now(); // orders carry all that a heartbeat tells
+        }
         const auto usage = m_ctx.credits.usageOf(incarnation);
+        const auto proofAge = m_ctx.config.entryProofAge().value_or(currencyLimit);
         for (auto &[home, envelope] : batches) {
             auto &start = *envelope.mutable_start_tasks();
             start.set_config_version(static_cast<std::uint64_t>(m_ctx.config.version()));
             start.set_credit_epoch(usage.epoch);
             start.set_used_total(usage.usedTotal);
             start.set_uncredited(m_ctx.options.policy != placement_policy::credits);
+            start.set_currency_age_us(static_cast<std::uint64_t>(proofAge.count()));
+            start.mutable_acked()->Swap(agent.acks.mutable_refs());
+            agent.acks.Clear();
             fillDemand(*start.mutable_demand());
             m_ctx.out.send(incarnation, std::move(envelope));
         }
--- a/src/entry/order_tracker.cpp
+++ b/src/entry/order_tracker.cpp
@@ -54,8 +54,6 @@
 
 void order_tracker::receive(incarnation_id sender, const wire::TaskUpdates &updates)
 {
-    wire::Envelope envelope;
-    auto &ack = *envelope.mutable_update_ack();
     std::vector<job_home> fenced;
     for (const auto &update : updates.updates()) {
         const auto ref = fromWire(update.ref());
@@ -63,13 +61,16 @@
             continue;
         }
         apply(sender, update);
-        *ack.add_refs() = update.ref();
+        const bool ended = update.state() != wire::TASK_STATE_ACCEPTED &&
+                           update.state() != wire::TASK_STATE_RUNNING;
+        if (ended) {
+            acknowledge(sender, update.ref());
+        }
         const bool refused = update.state() == wire::TASK_STATE_REFUSED;
         if (refused && errorFromWire(update.error()) == error_kind::order_fenced) {
             fenced.push_back(ref.job.session.home);
         }
     }
-    m_ctx.out.send(sender, std::move(envelope));
     for (const auto &home : fenced) {
         m_ctx.keeper->homeFenced(home);
     }
@@ -84,6 +85,34 @@
     }
 }
 
+void order_tracker::acknowledge(incarnation_id agent, const wire::TaskRef &ref)
+{
+    const auto known = m_ctx.agents.find(agent);
+    if (known == m_ctx.agents.end()) {
+        wire::Envelope envelope;
+        *envelope.mutable_update_ack()->add_refs() = ref;
+        m_ctx.out.send(agent, std::move(envelope));
+        return;
+    }
+    auto &record = known->second;
+    if (record.acks.refs().empty()) {
+        record.acksSince = m_ctx.now();
+    }
+    *record.acks.add_refs() = ref;
+}
+
+void order_tracker::sendAcks()
+{
+    for (auto &[incarnation, agent] : m_ctx.agents) {
+        if (!agent.acks.refs().empty() && m_ctx.now() - agent.acksSince >= ackDelay) {
+            wire::Envelope envelope;
+            envelope.mutable_update_ack()->Swap(&agent.acks);
+            agent.acks.Clear();
+            m_ctx.out.send(incarnation, std::move(envelope));
+        }
+    }
+}
+
 void order_tracker::apply(incarnation_id sender, const wire::TaskUpdate &update)
 {
     const auto ref = fromWire(update.ref());
@@ -219,6 +248,7 @@
     }
     m_nextSweep = m_ctx.now() + sweepInterval;
     findDeadAgents();
+    sendAcks();
     std::map<incarnation_id, wire::Envelope> queries;
     querySilent(m_heard, orderSilenceLimit, queries);
     querySilent(m_queried, queryInterval, queries);
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -160,21 +160,38 @@
     return read(run.samples.back()) - read(run.samples.front());
 }
 
+/// Messages by the kind of their payload, over all processes.
+json::object messagesByKind(const load_run &run)
+{
+    constexpr std::string_view family = "bamboohead_messages_by_kind_total{kind=\"";
+    std::map<std::string, double> kinds;
+    const auto last = run.samples.empty() ? counter_sample{} : run.samples.back();
+    for (const auto &[counter, value] : last.values) {
+        const auto at = counter.find(family);
+        if (at != std::string::npos) {
+            const auto begin = at + family.size();
+            kinds[counter.substr(begin, counter.find('"', begin) - begin)] += grown(run, counter);
+        }
+    }
+    return {kinds.begin(), kinds.end()};
+}
+
 json::object messages(const load_run &run)
 {
     const auto tasks = grown(run, taskCountCounter);
     const auto sent = grown(run, "entry.bamboohead_messages_sent_total") +
                       grown(run, "agent.bamboohead_messages_sent_total");
-    json::object kinds;
+    json::object wastedKinds;
     double wasted = 0;
     for (const auto &[name, counter] : wastedCounters) {
-        kinds[name] = grown(run, counter);
+        wastedKinds[name] = grown(run, counter);
         wasted += grown(run, counter);
     }
     return {{"sent", sent},
             {"tasks_run", tasks},
             {"per_task", ratio(sent, tasks)},
-            {"wasted", std::move(kinds)},
+            {"by_kind", messagesByKind(run)},
+            {"wasted", std::move(wastedKinds)},
             {"wasted_part", ratio(wasted, sent)}};
 }
 
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -43,6 +43,7 @@
     REQUIRE(answered(5));
     CHECK(answer(5).outcome == job_outcome::complete);
     CHECK(answer(5).results == std::vector<std::string>{"r0", "r1", "r2"});
+    run(300ms); // acknowledgements wait for orders, less than for the agent's next report
     CHECK(agent.acks == 3);
     CHECK(first.dump().at("config_version") == 1);
 }
@@ -175,6 +176,7 @@
     REQUIRE(answered(5));
     CHECK(answer(5).results == std::vector<std::string>{"r0", "r1"});
     sendUpdate(agent, 1, first0);
+    run(300ms);
     CHECK(agent.acks == 7);
 }
 
--- a/tests/entry_fixture.cpp
+++ b/tests/entry_fixture.cpp
@@ -117,6 +117,7 @@
         agent.owners.push_back(envelope.start_tasks().owner());
     }
     agent.acks += static_cast<std::uint32_t>(envelope.update_ack().refs_size());
+    agent.acks += static_cast<std::uint32_t>(envelope.start_tasks().acked_size());
     agent.queries += static_cast<std::uint32_t>(envelope.task_query().refs_size());
     if (!envelope.has_fence_request()) {
         return;
