Order credits by the precedence of the next job and keep more of them in circulation

Cause: at 80% load small jobs waited for credits that idle entries held (2 beyond the slots for 4 entries), credits went to the entry with the oldest task whatever its work, and a freed credit often cost a message of its own. An urgent recall was also lost when no slot was free at the first recall (found by the new ledger test). Change: agents hold up to 6 orders beyond the slots (agent_options::excessOrders; the agent tests keep 2). Demand carries the precedence of the job that is served next instead of the oldest age. A freed credit goes with a waiting update when its entry is within 250 ms of the highest precedence. Recalls are urgent only while a slot is free.

--- a/include/bamboohead/agent_core.hpp
+++ b/include/bamboohead/agent_core.hpp
@@ -42,6 +42,10 @@
     process_identity self;
     std::vector<std::string> seeds; ///< endpoints of entries
     std::uint64_t seed = 1;         ///< of all random choices
+    /// Orders beyond the slots that the agent may hold. They hide the round trip to the entry, and
+    /// leave each of several entries a credit while most slots are busy: with 2 for 4 entries,
+    /// tasks waited for credits that idle entries held.
+    std::uint32_t excessOrders = 6;
 };
 
 /// @brief Counters of an agent, monotonic.
--- a/include/bamboohead/detail/agent/credit_ledger.hpp
+++ b/include/bamboohead/detail/agent/credit_ledger.hpp
@@ -7,14 +7,15 @@
 
 namespace bamboohead::detail {
 
-/// @brief Orders beyond the slots that an agent may hold, which hide the round trip to the entry.
-inline constexpr std::uint64_t excessOrders = 2;
+/// @brief Precedence that an entry gives up to another one that is about to get a message anyway,
+///        which then carries the credit.
+inline constexpr duration companionWindow = std::chrono::milliseconds{250};
 
 /// @brief Work that an entry has waiting for the agent's service.
 struct entry_demand
 {
     std::uint64_t waiting = 0;
-    time_point oldestSince{}; ///< when the oldest waiting task began to wait, local clock
+    time_point oldestSince{}; ///< by precedence: age, less for more remaining work; local clock
 };
 
 /// @brief Credits of one entry link.
@@ -25,6 +26,7 @@
     std::uint64_t usedTotal = 0;
     entry_demand demand;
     bool recall = false;       ///< the entry is asked to return what it does not need
+    bool recallHelps = false;  ///< another entry waits and a slot is free for its task
     bool recallUrgent = false; ///< the recall was not told yet, and another entry waits for it
     bool changed = false;      ///< the entry has not been told the present totals
 
@@ -32,7 +34,7 @@
 };
 
 /// @brief The agent's side of credits. The sum of outstanding credits, queued and running orders
-///        stays within slots + `excessOrders`.
+///        stays within a limit above the slots.
 ///
 /// Only entries that may hold credits have an open line. Totals are cumulative in an epoch; every
 /// epoch number is used once, so an order of an earlier epoch can be told apart.
@@ -41,7 +43,9 @@
 public:
     /// @brief Sets the limit of outstanding credits and held orders; 0 takes all credits back.
     ///        A limit below the present sum starts new epochs.
-    void setCapacity(std::uint64_t limit);
+    /// @param slots Orders that can run at the same time.
+    void setCapacity(std::uint64_t limit, std::uint64_t slots);
+    void setCapacity(std::uint64_t limit) { setCapacity(limit, limit); }
 
     /// @brief Sets the number of queued and running orders.
     void setHeld(std::uint64_t orders);
@@ -65,7 +69,12 @@
     /// @brief Whether one more order may be held.
     [[nodiscard]] bool mayHold() const { return m_held + m_outstanding < m_limit; }
 
-    /// @brief Gives free credits to the entry with the oldest unmet demand, idle ones to the open
+    /// @brief An update to the entry is waiting to be sent, which can carry credits.
+    void setCompanion(incarnation_id entry) { m_companion = entry; }
+
+    /// @brief Gives free credits to the entry with the oldest unmet demand, or the one with a
+    /// waiting
+    ///        update when its demand is hardly younger, and idle ones to the open
     ///        entry with the fewest, and marks the lines to be recalled.
     void distribute();
 
@@ -87,14 +96,17 @@
     void startEpoch(credit_line &line);
     void startAllEpochs();
     entry_account *oldestUnmet();
+    entry_account *companionOr(entry_account *oldest);
     entry_account *fewestCredits();
     void markRecalls();
 
     std::map<incarnation_id, entry_account> m_accounts;
     std::uint64_t m_limit = 0;
+    std::uint64_t m_slots = 0;
     std::uint64_t m_held = 0;
     std::uint64_t m_outstanding = 0;
     std::uint64_t m_lastEpoch = 0;
+    incarnation_id m_companion = incarnation_id::none;
 };
 
 } // namespace bamboohead::detail
--- a/include/bamboohead/detail/load/report.hpp
+++ b/include/bamboohead/detail/load/report.hpp
@@ -75,6 +75,7 @@
 {
     ideal_order order = ideal_order::first_come; ///< the one with the lower mean response
     std::vector<duration> queueEnds;             ///< by job, after the start of the run
+    std::vector<duration> otherEnds;             ///< by job, of the order that is not used
     std::vector<duration> idleTimes;             ///< by job
     std::vector<duration> taskEnds;              ///< of all services
     std::vector<duration> taskWork;              ///< run time of each task of `taskEnds`
--- a/include/bamboohead/ready_queue.hpp
+++ b/include/bamboohead/ready_queue.hpp
@@ -29,6 +29,9 @@
     std::string service;
     std::uint32_t waitingTasks = 0;
     duration oldestAge{};
+    /// How far the job that is served next precedes a job of no work submitted 4 s from now: its
+    /// age, less for more remaining work. Compares the backlogs of several queues.
+    duration precedence{};
 };
 
 /// @brief Order in which jobs start their waiting tasks.
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -161,7 +161,7 @@
     for (const auto &demand : demands) {
         if (demand.service() == m_target->service) {
             own.waiting = demand.waiting();
-            own.oldestSince = m_clock.now() - durationFromWire(demand.oldest_age_us());
+            own.oldestSince = m_clock.now() - durationFromWire(demand.precedence_us());
         }
     }
     m_credits.setDemand(from.sender, own);
@@ -222,6 +222,7 @@
         m_tasks.end(*order, error, end.result, end.runTime, m_clock.now());
         logTask("task_ended", end.ref, {{"state", std::string{detail::toText(order->state)}}});
         report(*order);
+        m_credits.setCompanion(order->destination);
     }
     refreshState();
     sweepQueue();
@@ -278,7 +279,8 @@
 {
     const bool zoneIn = m_config.ownZoneIn();
     const bool isLeaving = leaving();
-    m_credits.setCapacity(open() ? effectiveSlots() + detail::excessOrders : 0);
+    const auto slots = open() ? effectiveSlots() : 0;
+    m_credits.setCapacity(slots + (open() ? m_options.excessOrders : 0), slots);
     if (zoneIn != m_wasZoneIn) {
         log("zone_state", {{"zone", m_options.self.zone}, {"state", zoneIn ? "in" : "out"}});
     }
--- a/src/agent/credit_ledger.cpp
+++ b/src/agent/credit_ledger.cpp
@@ -5,9 +5,10 @@
 
 namespace bamboohead::detail {
 
-void credit_ledger::setCapacity(std::uint64_t limit)
+void credit_ledger::setCapacity(std::uint64_t limit, std::uint64_t slots)
 {
     m_limit = limit;
+    m_slots = slots;
     if (m_held + m_outstanding > m_limit) {
         startAllEpochs();
     }
@@ -71,7 +72,7 @@
 void credit_ledger::distribute()
 {
     while (mayHold()) {
-        auto *receiver = oldestUnmet();
+        auto *receiver = companionOr(oldestUnmet());
         if (receiver == nullptr) {
             receiver = fewestCredits();
         }
@@ -82,6 +83,7 @@
         receiver->line.changed = true;
         ++m_outstanding;
     }
+    m_companion = incarnation_id::none;
     markRecalls();
 }
 
@@ -103,6 +105,7 @@
     line.issuedTotal = 0;
     line.usedTotal = 0;
     line.recall = false;
+    line.recallHelps = false;
     line.recallUrgent = false;
     line.changed = true;
 }
@@ -131,6 +134,18 @@
     return oldest;
 }
 
+credit_ledger::entry_account *credit_ledger::companionOr(entry_account *oldest)
+{
+    const auto found = m_accounts.find(m_companion);
+    if (oldest == nullptr || found == m_accounts.end() || !found->second.open) {
+        return oldest;
+    }
+    auto &line = found->second.line;
+    const bool unmet = line.demand.waiting > line.outstanding();
+    const auto latest = oldest->line.demand.oldestSince + companionWindow;
+    return unmet && line.demand.oldestSince <= latest ? &found->second : oldest;
+}
+
 credit_ledger::entry_account *credit_ledger::fewestCredits()
 {
     entry_account *fewest = nullptr;
@@ -147,7 +162,7 @@
 {
     const bool othersWait = oldestUnmet() != nullptr;
     // With all slots busy another entry's task could not start sooner by a recalled credit.
-    const bool slotFree = m_held + excessOrders < m_limit;
+    const bool slotFree = m_held < m_slots;
     const auto *fewest = fewestCredits();
     for (auto &[entry, account] : m_accounts) {
         auto &line = account.line;
@@ -156,7 +171,9 @@
         const bool uneven =
                 fewest != nullptr && line.outstanding() > fewest->line.outstanding() + 1;
         const bool recall = idle && (othersWait || uneven);
-        line.recallUrgent = recall && othersWait && slotFree && (!line.recall || line.recallUrgent);
+        const bool helps = recall && othersWait && slotFree;
+        line.recallUrgent = helps && (!line.recallHelps || line.recallUrgent);
+        line.recallHelps = helps;
         line.recall = recall;
     }
 }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -194,7 +194,7 @@
         auto &demand = *out.Add();
         demand.set_service(backlog.service);
         demand.set_waiting(backlog.waitingTasks);
-        demand.set_oldest_age_us(static_cast<std::uint64_t>(backlog.oldestAge.count()));
+        demand.set_precedence_us(static_cast<std::uint64_t>(backlog.precedence.count()));
     }
 }
 
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -77,6 +77,7 @@
     std::vector<duration> measured;
     std::vector<duration> queue;
     std::vector<duration> idle;
+    std::vector<duration> other;
     for (std::size_t i = 0; i < run.jobs.size(); ++i) {
         const bool counted =
                 service.empty() || run.mix.classes[run.jobs[i].kind].service == service;
@@ -84,6 +85,7 @@
             measured.push_back(run.outcomes[i].answered - run.jobs[i].at);
             queue.push_back(ideal.queueEnds[i] - run.jobs[i].at);
             idle.push_back(ideal.idleTimes[i]);
+            other.push_back(ideal.otherEnds[i] - run.jobs[i].at);
         }
     }
     json::object result{{"jobs", measured.size()}};
@@ -94,6 +96,7 @@
         result[name] = json::object{{"ms", value},
                                     {"queue_ideal_ms", queueValue},
                                     {"idle_ideal_ms", idleValue},
+                                    {"other_order_ms", milliseconds(percentile(other, fraction))},
                                     {"over_queue_ideal", ratio(value, queueValue)},
                                     {"over_idle_ideal", ratio(value, idleValue)}};
     }
--- a/src/load/report_table.cpp
+++ b/src/load/report_table.cpp
@@ -19,8 +19,8 @@
     for (const auto *const fraction : {"p50", "p99", "p99.9"}) {
         const auto &row = response.at(fraction).as_object();
         out << std::setw(nameWidth) << name << std::setw(valueWidth) << fraction;
-        for (const auto *const key :
-             {"ms", "queue_ideal_ms", "idle_ideal_ms", "over_queue_ideal", "over_idle_ideal"}) {
+        for (const auto *const key : {"ms", "queue_ideal_ms", "other_order_ms", "idle_ideal_ms",
+                                      "over_queue_ideal", "over_idle_ideal"}) {
             out << std::setw(valueWidth) << row.at(key).to_number<double>();
         }
         out << "\n";
@@ -51,7 +51,7 @@
         << report.at("jobs").to_number<std::int64_t>()
         << " jobs; ideal queue: " << report.at("ideal_order").as_string().c_str() << "\n";
     out << std::setw(nameWidth) << "service";
-    for (const auto *const head : {"", "ms", "queue", "idle", "/queue", "/idle"}) {
+    for (const auto *const head : {"", "ms", "queue", "other", "idle", "/queue", "/idle"}) {
         out << std::setw(valueWidth) << head;
     }
     out << "\n";
--- a/src/load/run_ideal.cpp
+++ b/src/load/run_ideal.cpp
@@ -103,8 +103,9 @@
     auto ideal = replayAll(run, parts, ideal_order::first_come);
     auto other = replayAll(run, parts, ideal_order::least_remaining);
     if (meanResponse(run, other) < meanResponse(run, ideal)) {
-        ideal = std::move(other);
+        std::swap(ideal, other);
     }
+    ideal.otherEnds = std::move(other.queueEnds);
     const auto slots = totalSlots(run.slots);
     for (const auto &job : run.jobs) {
         const auto &service = run.mix.classes[job.kind].service;
--- a/src/policy/ready_queue.cpp
+++ b/src/policy/ready_queue.cpp
@@ -324,7 +324,10 @@
     for (const auto &[name, service] : m_services) {
         if (service.waiting > 0) {
             const auto age = now - service.byAge.begin()->job.submitted;
-            all.push_back(service_backlog{name, service.waiting, std::max(age, duration{})});
+            const auto &next = *service.backlogged.begin()->jobs.begin();
+            const auto precedence = now - next.rank + maxOvertaking;
+            all.push_back(service_backlog{name, service.waiting, std::max(age, duration{}),
+                                          std::max(precedence, duration{})});
         }
     }
     return all;
--- a/tests/agent_entries_test.cpp
+++ b/tests/agent_entries_test.cpp
@@ -77,7 +77,7 @@
     auto &demand = *waiting.mutable_entry_heartbeat()->add_demand();
     demand.set_service(service);
     demand.set_waiting(9);
-    demand.set_oldest_age_us(200'000);
+    demand.set_precedence_us(200'000);
     receive(waiting);
     CHECK(credits(backupId) == 2);
     end(refOf(0));
--- a/tests/agent_fixture.hpp
+++ b/tests/agent_fixture.hpp
@@ -34,7 +34,8 @@
 {
 public:
     explicit agent_fixture(bool withTarget = true)
-        : m_core{{{agentId, "tcp://127.0.0.1:9", wire::ROLE_AGENT, "graz"}, {"seed"}, 1}, m_clock}
+        : m_core{{{agentId, "tcp://127.0.0.1:9", wire::ROLE_AGENT, "graz"}, {"seed"}, 1, 2},
+                 m_clock}
     {
         pushConfig(1, zoneInText);
         settle();
--- a/tests/credit_ledger_test.cpp
+++ b/tests/credit_ledger_test.cpp
@@ -143,3 +143,40 @@
     CHECK(ledger.outstanding() == 0);
     CHECK_FALSE(ledger.mayHold());
 }
+
+TEST_CASE("a freed credit goes with a waiting update unless another entry waits much longer")
+{
+    // Guards against one more message for each task while several entries wait, and against an
+    // entry that keeps an agent to itself.
+    auto ledger = twoEntries(2);
+    ledger.setHeld(2);
+    ledger.use(entryA, ledger.line(entryA).epoch, 1);
+    ledger.use(entryB, ledger.line(entryB).epoch, 1);
+    ledger.setDemand(entryA, {9, start});
+    ledger.setDemand(entryB, {9, start + companionWindow});
+    ledger.setHeld(1);
+    ledger.setCompanion(entryB);
+    ledger.distribute();
+    CHECK(ledger.line(entryB).outstanding() == 1);
+    ledger.setDemand(entryB, {9, start + companionWindow + 1us});
+    ledger.setHeld(0);
+    ledger.setCompanion(entryB);
+    ledger.distribute();
+    CHECK(ledger.line(entryA).outstanding() == 1);
+}
+
+TEST_CASE("a credit is not recalled while all slots are busy")
+{
+    // Guards against recalls that start no task sooner, which cost two messages each.
+    auto ledger = twoEntries(4);
+    ledger.use(entryA, ledger.line(entryA).epoch, 1);
+    ledger.use(entryB, ledger.line(entryB).epoch, 1);
+    ledger.setHeld(2);
+    ledger.setCapacity(4, 2);
+    ledger.setDemand(entryB, {9, start});
+    ledger.distribute();
+    CHECK_FALSE(ledger.line(entryA).recallUrgent);
+    ledger.setCapacity(4, 3);
+    ledger.distribute();
+    CHECK(ledger.line(entryA).recallUrgent);
+}
