--- a/include/bamboohead/agent_core.hpp
+++ b/include/bamboohead/agent_core.hpp
@@ -42,6 +42,13 @@
     process_identity self;
     std::vector<std::string> seeds; ///< endpoints of entries
     std::uint64_t seed = 1;         ///< of all random choices
+    /// Orders beyond the slots that the agent may hold. They hide the round trip to the entry, and
+    /// leave each of several entries a credit while most slots are busy: with 2 for 4 entries,
+    /// tasks waited for credits that idle entries held.
+    std::uint32_t excessOrders = 6;
+    /// Credits that are given only to entries with waiting tasks. An idle credit that another entry
+    /// needs costs a recall and its answer; a reserved one only the message that gives it.
+    std::uint32_t reservedCredits = 3;
 };
 
 /// @brief Counters of an agent, monotonic.
@@ -51,6 +58,8 @@
     std::uint64_t tasksFinished = 0;
     std::uint64_t tasksFailed = 0;
     std::uint64_t ordersRefused = 0;
+    std::uint64_t reportsRepeated = 0; ///< ends of tasks told again for want of an acknowledgement
+    std::uint64_t recalls = 0;         ///< heartbeats sent only to recall credits
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesReceived = 0;
     std::uint64_t messagesDropped = 0;
--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bamboohead {
 
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -59,7 +59,9 @@
     , m_links{m_options.self, clock}
     , m_config{m_options.self.zone, clock}
     , m_entries{m_links, clock}
-{}
+{
+    m_credits.setReserve(m_options.reservedCredits);
+}
 
 void agent_core::implementation::receive(const wire::Envelope &envelope)
 {
@@ -101,7 +103,7 @@
         onStartTasks(envelope.start_tasks(), from);
         break;
     case wire::Envelope::kUpdateAck:
-        onUpdateAck(envelope.update_ack(), from);
+        onAcknowledged(envelope.update_ack().refs(), from);
         break;
     case wire::Envelope::kTaskQuery:
         onTaskQuery(envelope.task_query(), from);
@@ -135,15 +137,22 @@
     if (version > m_config.version()) {
         pullConfig(from.sender);
     }
-    // A version that differs from the held one proves nothing about the held one.
-    if (heartbeat.current() && version == m_config.version() && from.fresh(currencyLimit)) {
-        m_config.currentEntryHeard(m_clock.now() - *from.age,
-                                   durationFromWire(heartbeat.currency_age_us()));
+    if (heartbeat.current()) {
+        proofHeard(version, heartbeat.currency_age_us(), from);
     }
     m_credits.use(from.sender, heartbeat.credit_epoch(), heartbeat.used_total());
     onDemand(heartbeat.demand(), from);
 }
 
+void agent_core::implementation::proofHeard(config_version version, std::uint64_t ageMicroseconds,
+                                            const origin &from)
+{
+    // A version that differs from the held one proves nothing about the held one.
+    if (version == m_config.version() && from.fresh(currencyLimit)) {
+        m_config.currentEntryHeard(m_clock.now() - *from.age, durationFromWire(ageMicroseconds));
+    }
+}
+
 void agent_core::implementation::onDemand(
         const google::protobuf::RepeatedPtrField<wire::Demand> &demands, const origin &from)
 {
@@ -154,7 +163,7 @@
     for (const auto &demand : demands) {
         if (demand.service() == m_target->service) {
             own.waiting = demand.waiting();
-            own.oldestSince = m_clock.now() - durationFromWire(demand.oldest_age_us());
+            own.oldestSince = m_clock.now() - durationFromWire(demand.precedence_us());
         }
     }
     m_credits.setDemand(from.sender, own);
@@ -215,6 +224,7 @@
         m_tasks.end(*order, error, end.result, end.runTime, m_clock.now());
         logTask("task_ended", end.ref, {{"state", std::string{detail::toText(order->state)}}});
         report(*order);
+        m_credits.setCompanion(order->destination);
     }
     refreshState();
     sweepQueue();
@@ -271,7 +281,8 @@
 {
     const bool zoneIn = m_config.ownZoneIn();
     const bool isLeaving = leaving();
-    m_credits.setCapacity(open() ? effectiveSlots() + detail::excessOrders : 0);
+    const auto slots = open() ? effectiveSlots() : 0;
+    m_credits.setCapacity(slots + (open() ? m_options.excessOrders : 0), slots);
     if (zoneIn != m_wasZoneIn) {
         log("zone_state", {{"zone", m_options.self.zone}, {"state", zoneIn ? "in" : "out"}});
     }
