Refuse to serve HTTP on a port that another process serves

Cause: the HTTP library sets SO_REUSEPORT, so a second agent started on a port in use without an error and got a part of the first one's requests; seen when two systems ran side by side (404s). Change: SO_REUSEADDR instead, which allows a restart but no second listener. Run: the new test passes, and fails against the former server (no exception); 169 unit tests pass. Right after a process of the former version on the same port, a start can fail for up to a minute, until that version's TIME_WAIT sockets are gone; seen twice, not between processes of this version (graceful-stop and job-never-runs twice in turn).

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -4,6 +4,7 @@
 #include "bamboohead/job.hpp"
 
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace bamboohead {
 
@@ -20,6 +21,14 @@
 constexpr const char *sessionsPath = "/v1/sessions"; // takes requests without a body
 constexpr const char *metricsType = "text/plain; version=0.0.4";
 
+/// The library's default is SO_REUSEPORT, with which a second process on the same port starts
+/// without an error and gets a part of the first one's requests.
+void refuseSharedPort(socket_t socket)
+{
+    const int enabled = 1; // for a restart while connections of the last process are in TIME_WAIT
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+}
+
 /// Gives a body to errors that the library answers by itself.
 void describeError(const httplib::Request &, httplib::Response &response)
 {
@@ -68,6 +77,7 @@
     m_server.set_write_timeout(ioTimeoutSeconds);
     m_server.set_payload_max_length(maxBodyBytes);
     m_server.set_tcp_nodelay(true);
+    m_server.set_socket_options(refuseSharedPort);
     m_server.set_error_handler(httplib::Server::Handler{describeError});
     m_server.set_pre_routing_handler(requireLength);
     addCommonRoutes(metrics, draining);
--- a/tests/http_entry_test.cpp
+++ b/tests/http_entry_test.cpp
@@ -244,4 +244,17 @@
     CHECK(poll(&waiting, 1, 0) == 0);
 }
 
+// Guards against a second process that takes a part of the first one's requests unnoticed.
+TEST_CASE("a server refuses to start on a port that another one serves")
+{
+    const http_fixture fixture;
+    http_settings settings;
+    settings.port = static_cast<std::uint16_t>(fixture.port());
+    const process_metrics metrics;
+    const std::atomic<bool> draining{false};
+    http_server second{settings, fewestConnections, metrics, draining,
+                       [] { return std::optional<std::string>{"{}"}; }};
+    CHECK_THROWS_AS(second.start(), std::runtime_error);
+}
+
 } // namespace bamboohead
