Give the failure checks free ports and print why a fleet did not start

Cause: ports of target-fails-all met another system's; an apply that failed ended a check silently. Change: other first ports, a check of the ports of each kind of process, output of the apply; an empty answer is reported as such instead of ending the check.

--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -59,16 +59,15 @@
     done
 }
 
-# Two HTTP servers can share a port without an error, which would mix two systems.
+# The stand-ins' HTTP servers share a port without an error, which would mix two systems.
 ports_free() {
-    local i offset
-    for i in 1 2 3 4; do
-        for offset in 10 20 40 100 200 300; do
-            if (exec 3<>"/dev/tcp/127.0.0.1/$((base + offset + i))") 2>/dev/null; then
-                echo "port $((base + offset + i)) is in use; set BASE_PORT"
-                return 1
-            fi
-        done
+    local port
+    for port in "$base" $((base + 11)) $((base + 21)) $((base + 41)) $((base + 101)) \
+        $((base + 104)) $((base + 201)) $((base + 301)) $((base + 304)); do
+        if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+            echo "port $port is in use; set BASE_PORT to the first of 400 free ones"
+            return 1
+        fi
     done
 }
 
@@ -76,8 +75,11 @@
     ports_free
     : >"$work/journal"
     start_system
-    "$binary" manifest apply "examples/$workload/manifest.json" --store "$store" \
-        --entries "$entry_list" >"$work/apply.out" 2>&1
+    if ! "$binary" manifest apply "examples/$workload/manifest.json" --store "$store" \
+        --entries "$entry_list" >"$work/apply.out" 2>&1; then
+        cat "$work/apply.out"
+        return 1
+    fi
     wait_for_targets
     wait_until "all processes are current" all_current
 }
@@ -157,7 +159,7 @@
         if [ "$code" -eq 0 ] && [ "$(grep -o 'run_ms=' "$answer" | wc -l)" -eq "${job_tasks[$i]}" ]; then
             complete=$((complete + 1))
         else
-            others+=" ${job_names[$i]}:$code:$(grep -o '"kind":"[a-z_]*"' "$answer" | cut -d'"' -f4)"
+            others+=" ${job_names[$i]}:$code:$(sed -n 's/.*"kind":"\([a-z_]*\)".*/\1/p' "$answer")"
         fi
     done
     job_pids=()
@@ -170,6 +172,7 @@
     (grep -o -- "$1" <<<"$others" || true) | wc -l
 }
 
+# Starts in the targets' journals; the label is the zone, the time that of now_us.
 starts_between() { # label or "all", from, to
     awk -v zone="$1" -v from="$2" -v to="$3" \
         '$1 >= from && $1 < to && (zone == "all" || $5 == zone) { n++ } END { print n + 0 }' \
