Check that a stopped entry has answered all its requests

Cause: the mutant entry_stop, which exits without ending its jobs, was not found, because callers resubmit to the backup.

Change: a request that an entry took and left unanswered when it exited after a graceful stop violates R8, in all runs.

--- a/tests/schedule/callers.cpp
+++ b/tests/schedule/callers.cpp
@@ -33,6 +33,16 @@
     return std::ranges::all_of(m_callers, &caller::done);
 }
 
+void callers::checkStopped() const
+{
+    for (const auto &sent : m_requests) {
+        if (!sent.answered && m_network.exits().contains(sent.taker)) {
+            m_evidence.violated("R8", "a stopped entry left a request for " + toText(sent.job) +
+                                              " unanswered");
+        }
+    }
+}
+
 std::string callers::anyEntry()
 {
     const auto entries = m_network.endpoints(wire::ROLE_ENTRY);
@@ -103,7 +113,8 @@
     const auto request = add(index);
     const auto entry = anyEntry();
     m_network.trace("caller submits " + toText(subject.job->id) + " to " + entry);
-    m_network.input(entry, requestDelay(), [request, job = *subject.job](process &to) {
+    m_network.input(entry, requestDelay(), [this, request, job = *subject.job](process &to) {
+        m_requests[static_cast<std::uint64_t>(request)].taker = to.incarnation;
         to.entry->submit(request, job, true);
     });
     m_network.after(answerTimeout, [this, index, tries] { checkTimeout(index, tries); });
@@ -128,7 +139,8 @@
 
 void callers::answered(const answer_caller &answer)
 {
-    const auto &asked = m_requests.at(static_cast<std::uint64_t>(answer.request));
+    auto &asked = m_requests.at(static_cast<std::uint64_t>(answer.request));
+    asked.answered = true;
     auto &subject = m_callers[asked.caller];
     m_network.trace("caller gets " + toText(asked.job) + " " +
                     std::string{toText(answer.answer.outcome)} + " " +
--- a/tests/schedule/callers.hpp
+++ b/tests/schedule/callers.hpp
@@ -25,6 +25,8 @@
 
     /// @brief Whether each job has its last answer.
     [[nodiscard]] bool allAnswered() const;
+    /// @brief R8: an entry that exits after a graceful stop has answered all its requests.
+    void checkStopped() const;
     /// @brief When a job was first submitted.
     [[nodiscard]] const std::map<job_id, time_point> &submittedAt() const noexcept
     {
@@ -45,6 +47,8 @@
     {
         std::size_t caller = 0;
         job_id job;
+        incarnation_id taker = incarnation_id::none; ///< entry that received it
+        bool answered = false;
     };
 
     void open(std::size_t index);
--- a/tests/schedule/fake_network.cpp
+++ b/tests/schedule/fake_network.cpp
@@ -369,6 +369,7 @@
         }
     }
     if (exits) {
+        m_exits.insert(from.incarnation);
         kill(from.endpoint);
     }
 }
--- a/tests/schedule/fake_network.hpp
+++ b/tests/schedule/fake_network.hpp
@@ -119,6 +119,8 @@
     void input(const std::string &endpoint, duration delay, process::input act);
     [[nodiscard]] process &at(const std::string &endpoint) { return m_processes.at(endpoint); }
     [[nodiscard]] std::map<std::string, process> &processes() noexcept { return m_processes; }
+    /// @brief Incarnations that ended by a complete graceful stop.
+    [[nodiscard]] const std::set<incarnation_id> &exits() const noexcept { return m_exits; }
     [[nodiscard]] random_source &random() noexcept { return m_random; }
     [[nodiscard]] std::uint64_t version() const noexcept { return m_manifests.size(); }
     [[nodiscard]] bool zoneIsIn(const std::string &zone) const { return m_zones.at(zone); }
@@ -156,6 +158,7 @@
     std::map<std::string, process> m_processes;
     std::set<std::pair<std::string, std::string>> m_cutLinks;
     std::set<std::string> m_cutZones;
+    std::set<incarnation_id> m_exits;
     std::map<std::string, bool> m_zones;
     std::vector<std::string> m_manifests; ///< accepted; the version is the index plus 1
     std::uint64_t m_knownVersion = 0;     ///< newest that some connected entry could know
--- a/tests/schedule/schedule_run.cpp
+++ b/tests/schedule/schedule_run.cpp
@@ -57,6 +57,7 @@
         m_network.tickInterval = 500ms;
         m_network.runUntil(std::max(m_network.now(), start + faultsEnd) + m_lateTime);
         m_evidence.checkEnd(true);
+        subjects.checkStopped();
         checkKind(subjects);
         return result();
     }
