Tell a wrongly suspected primary; need silence as well as old echoes to hold a peer dead

And since orders stand in for heartbeats, an echo is 1 to 1.5 s old in normal operation, so that one lost message made an entry hold an agent dead after 2 s and fail its jobs as outcome_unknown.

Change: the backup sends scope_ack with taken_over at the start of a takeover and each second while the primary lives. A peer is held dead when it has echoed no stamp for 2 s and nothing arrived for 1 s, or without an echo for 4 s; being used still needs an echo of at most 2 s.

--- a/include/bamboohead/detail/entry/context.hpp
+++ b/include/bamboohead/detail/entry/context.hpp
@@ -35,6 +35,7 @@
     [[nodiscard]] time_point now() const { return time.now(); }
     [[nodiscard]] incarnation_id self() const noexcept { return options.self.incarnation; }
     [[nodiscard]] bool alive(incarnation_id peer) const { return links.alive(peer, peerTimeout); }
+    [[nodiscard]] bool silent(incarnation_id peer) const { return links.silent(peer, peerTimeout); }
 
     entry_options options;
     const clock &time;
--- a/include/bamboohead/detail/entry/home_table.hpp
+++ b/include/bamboohead/detail/entry/home_table.hpp
@@ -74,6 +74,7 @@
     std::unordered_set<incarnation_id> reported;
     time_point fenceStarted;
     time_point fenceSent;
+    time_point primaryTold;
     time_point lastUsed; ///< when a session of the home was last recorded
     home_jobs jobs;
 
--- a/include/bamboohead/detail/entry/limits.hpp
+++ b/include/bamboohead/detail/entry/limits.hpp
@@ -33,6 +33,8 @@
 inline constexpr duration closeConfirmTimeout = std::chrono::milliseconds{500};
 inline constexpr duration fenceResendInterval = std::chrono::milliseconds{200};
 inline constexpr duration fenceTimeout = std::chrono::seconds{1};
+/// @brief A primary that was suspected wrongly would open sessions in the home that it lost.
+inline constexpr duration takeoverNoticeInterval = std::chrono::seconds{1};
 /// @brief Attempts of the backup start here, above any attempt number of the primary, because
 ///        agents remember void attempts by (home, job, task, attempt).
 inline constexpr std::uint32_t firstBackupAttempt = 1U << 16U;
--- a/include/bamboohead/detail/entry/takeover.hpp
+++ b/include/bamboohead/detail/entry/takeover.hpp
@@ -22,6 +22,8 @@
 private:
     void begin(backup_home &home, std::string_view reason);
     void sendFences(backup_home &home);
+    /// @brief Tells the primary, which may be alive, that it no longer owns the home.
+    void tellPrimary(backup_home &home);
     void applyReport(incarnation_id agent, const wire::TaskUpdate &update);
     void finish(backup_home &home);
     void resume(job_record &job, bool complete);
--- a/include/bamboohead/link_table.hpp
+++ b/include/bamboohead/link_table.hpp
@@ -31,6 +31,7 @@
     std::uint64_t newestStamp = 0; ///< newest stamp received from the peer, its clock, microseconds
     std::optional<time_point> newestEcho; ///< newest own stamp that the peer has echoed
     time_point added;                     ///< when the peer became known
+    time_point lastArrival;               ///< when its newest message was handled
 };
 
 /// @brief Verdict on a received envelope.
@@ -67,6 +68,15 @@
     /// @brief Whether the peer has echoed a stamp that is at most `limit` old.
     [[nodiscard]] bool alive(incarnation_id peer, duration limit) const;
 
+    /// @brief Whether the peer is to be held dead: it has echoed no stamp within `limit`, and
+    /// either
+    ///        nothing arrived from it in the second half of that time or there was no echo for
+    ///        twice the limit.
+    ///
+    /// An echo is 1 to 1.5 s old in normal operation with heartbeats each 500 ms, so that one lost
+    /// message would exceed a limit of 2 s. Being held dead needs no proof, unlike being alive.
+    [[nodiscard]] bool silent(incarnation_id peer, duration limit) const;
+
     /// @brief Finds a peer.
     /// @return Null when the peer is unknown.
     [[nodiscard]] const link *find(incarnation_id peer) const;
--- a/src/entry/order_tracker.cpp
+++ b/src/entry/order_tracker.cpp
@@ -236,7 +236,7 @@
     }
     std::vector<incarnation_id> dead;
     for (const auto &[incarnation, agent] : m_ctx.agents) {
-        if (!m_ctx.alive(incarnation)) {
+        if (m_ctx.silent(incarnation)) {
             dead.push_back(incarnation);
         }
     }
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -19,6 +19,7 @@
     for (auto &job : home.jobs) {
         m_ctx.jobs.enter(job, job_phase::fencing, now);
     }
+    tellPrimary(home);
     sendFences(home);
     if (home.scope.empty()) {
         finish(home);
@@ -141,10 +142,16 @@
     for (const auto session : stopping.sessions()) {
         m_ctx.jobs.openSession(session_id{id, session}, m_ctx.now()).handedOver = true;
     }
-    wire::Envelope reply;
-    toWire(id, *reply.mutable_scope_ack()->mutable_home());
-    reply.mutable_scope_ack()->set_taken_over(true);
-    m_ctx.out.send(sender, std::move(reply));
+    tellPrimary(home);
+}
+
+void takeover::tellPrimary(backup_home &home)
+{
+    home.primaryTold = m_ctx.now();
+    wire::Envelope notice;
+    toWire(home.home, *notice.mutable_scope_ack()->mutable_home());
+    notice.mutable_scope_ack()->set_taken_over(true);
+    m_ctx.out.send(home.home.primary, std::move(notice));
 }
 
 bool takeover::forgettable(const backup_home &home) const
@@ -159,7 +166,7 @@
     for (auto position = m_ctx.homes.backup.begin(); position != m_ctx.homes.backup.end();) {
         auto &home = position->second;
         if (home.phase == takeover_phase::standby) {
-            if (now >= m_ctx.judgeAfter && !m_ctx.alive(home.home.primary)) {
+            if (now >= m_ctx.judgeAfter && m_ctx.silent(home.home.primary)) {
                 begin(home, "primary_silent");
             }
         } else if (home.phase == takeover_phase::fencing) {
@@ -171,6 +178,11 @@
         } else if (!home.jobs.empty() && now - home.fenceSent >= fenceResendInterval) {
             fenceFurther(home);
         }
+        const bool taken = home.phase != takeover_phase::standby;
+        if (taken && now - home.primaryTold >= takeoverNoticeInterval &&
+            m_ctx.alive(home.home.primary)) {
+            tellPrimary(home);
+        }
         position = forgettable(home) ? m_ctx.homes.backup.erase(position) : std::next(position);
     }
 }
--- a/src/link_table.cpp
+++ b/src/link_table.cpp
@@ -33,6 +33,7 @@
     peer.endpoint = envelope.endpoint();
     peer.role = envelope.role();
     peer.zone = envelope.zone();
+    peer.lastArrival = m_clock.now();
     peer.newestStamp = std::max(peer.newestStamp, envelope.stamp_us());
     if (envelope.echo_us() != 0) {
         const auto echo = fromStamp(envelope.echo_us());
@@ -83,6 +84,15 @@
     return m_clock.now() - *known->newestEcho <= limit;
 }
 
+bool link_table::silent(incarnation_id peer, duration limit) const
+{
+    const auto *known = find(peer);
+    if (known == nullptr || !alive(peer, 2 * limit)) {
+        return true;
+    }
+    return !alive(peer, limit) && m_clock.now() - known->lastArrival > limit / 2;
+}
+
 const link *link_table::find(incarnation_id peer) const
 {
     const auto found = m_links.find(peer);
--- a/tests/entry_takeover_test.cpp
+++ b/tests/entry_takeover_test.cpp
@@ -267,6 +267,20 @@
     CHECK(answer(7).results.size() == 25);
 }
 
+TEST_CASE_FIXTURE(three_entries, "a primary that was suspected wrongly leaves its home at once")
+{
+    // Guards against sessions that are opened in a home that its backup has taken over.
+    REQUIRE(session.home.backup == incarnation_id{2});
+    lose = [](const wire::Envelope &envelope) {
+        return envelope.sender() == 1 && envelope.receiver() == 2;
+    };
+    run(3s);
+    REQUIRE(entry(2).counters().takeovers == 1);
+    lose = [](const auto &) { return false; };
+    run(1500ms);
+    CHECK(open(1).home != session.home);
+}
+
 TEST_CASE_FIXTURE(three_entries,
                   "after a graceful stop new jobs of a session are refused as not run")
 {
--- a/tests/link_table_test.cpp
+++ b/tests/link_table_test.cpp
@@ -51,3 +51,40 @@
     CHECK_FALSE(table.receive(envelope).accepted);
     CHECK(table.find(incarnation_id{2}) == nullptr);
 }
+
+TEST_CASE("a peer is silent only when neither its echoes nor its messages are recent")
+{
+    // Guards against holding a peer dead for one lost message, and against one that never echoes.
+    manual_clock clock;
+    link_table table{identity(1), clock};
+    const auto arrive = [&](std::uint64_t echo) {
+        wire::Envelope envelope;
+        envelope.set_sender(2);
+        envelope.set_receiver(1);
+        envelope.set_stamp_us(1);
+        envelope.set_echo_us(echo);
+        table.receive(envelope);
+    };
+    const incarnation_id peer{2};
+    CHECK(table.silent(peer, 2s));
+    const auto echo = toStamp(clock.now());
+    arrive(echo);
+    clock.advance(1900ms);
+    CHECK_FALSE(table.silent(peer, 2s));
+    SUBCASE("no message arrives any more")
+    {
+        clock.advance(200ms);
+        CHECK(table.silent(peer, 2s));
+    }
+    SUBCASE("messages arrive without a newer echo")
+    {
+        arrive(echo);
+        clock.advance(200ms);
+        CHECK_FALSE(table.silent(peer, 2s));
+        CHECK_FALSE(table.alive(peer, 2s));
+        clock.advance(1800ms);
+        arrive(echo);
+        clock.advance(200ms);
+        CHECK(table.silent(peer, 2s));
+    }
+}
