--- a/src/commands/manifest.cpp
+++ b/src/commands/manifest.cpp
@@ -33,15 +33,11 @@
                           const change_arguments arguments{line};
                           line.parse(count, values);
                           const auto store = makeToolClient(arguments.options());
-                          const auto result = store->read(manifestKey);
-                          if (const auto *error = std::get_if<store_error>(&result)) {
-                              return reportStoreError(error->kind, error->detail);
-                          }
-                          const auto &held = std::get<store_value>(result);
-                          if (held.modified == store_revision::none) {
-                              std::cerr << "bamboohead: the store holds no manifest\n";
-                              return exit_failed;
+                          const auto read = readHeldManifest(*store);
+                          if (const auto *code = std::get_if<int>(&read)) {
+                              return *code;
                           }
+                          const auto &held = std::get<store_value>(read);
                           std::cerr << "version=" << static_cast<std::uint64_t>(held.modified)
                                     << "\n";
                           std::cout << held.text;
--- a/src/commands/manifest_change.cpp
+++ b/src/commands/manifest_change.cpp
@@ -122,6 +122,20 @@
     return pushManifest(options, text, result.version);
 }
 
+std::variant<store_value, int> readHeldManifest(store_client &store)
+{
+    auto result = store.read(manifestKey);
+    if (const auto *error = std::get_if<store_error>(&result)) {
+        return reportStoreError(error->kind, error->detail);
+    }
+    auto &held = std::get<store_value>(result);
+    if (held.modified == store_revision::none) {
+        std::cerr << "bamboohead: the store holds no manifest\n";
+        return exit_failed;
+    }
+    return std::move(held);
+}
+
 int pushManifest(const change_options &options, const std::string &text, config_version version)
 {
     if (options.entries.empty()) {
--- a/src/commands/manifest_change.hpp
+++ b/src/commands/manifest_change.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace bamboohead {
@@ -36,6 +37,10 @@
 /// @brief Client for the operators' commands, which retry where entries would wait.
 [[nodiscard]] std::unique_ptr<store_client> makeToolClient(const change_options &options);
 
+/// @brief Reads the manifest that the store holds; prints what went wrong.
+/// @return The manifest, or the exit_code when the store cannot be read or holds none.
+[[nodiscard]] std::variant<store_value, int> readHeldManifest(store_client &store);
+
 /// @brief Writes a manifest made from revision `expected`, pushes it to the entries and waits until
 ///        it is in force; prints what happened.
 /// @return An exit_code.
--- a/src/commands/zone.cpp
+++ b/src/commands/zone.cpp
@@ -8,15 +8,11 @@
 int changeZone(const change_options &options, const std::string &zone, zone_state state)
 {
     const auto store = makeToolClient(options);
-    const auto result = store->read(manifestKey);
-    if (const auto *error = std::get_if<store_error>(&result)) {
-        return reportStoreError(error->kind, error->detail);
-    }
-    const auto &held = std::get<store_value>(result);
-    if (held.modified == store_revision::none) {
-        std::cerr << "bamboohead: the store holds no manifest\n";
-        return exit_failed;
+    const auto read = readHeldManifest(*store);
+    if (const auto *code = std::get_if<int>(&read)) {
+        return *code;
     }
+    const auto &held = std::get<store_value>(read);
     const auto changed = changeZoneState(held.text, zone, state);
     if (const auto *faults = std::get_if<std::vector<config_fault>>(&changed)) {
         printFaults("manifest", *faults);
