Say may_have_run for complete and pending jobs

Cause: the JSON of a complete answer carried "may_have_run":false, which a caller may read as "not run" although every task ran.

Change: only refused and failed answers can carry false.

--- a/src/adapters/job_json.cpp
+++ b/src/adapters/job_json.cpp
@@ -111,7 +111,10 @@
     if (answer.error != error_kind::none) {
         body["error"] = errorObject(answer.error, answer.message);
     }
-    body["may_have_run"] = answer.mayHaveRun;
+    // A caller may read false as "not run", which only a refusal or a failure can promise.
+    const bool ended =
+            answer.outcome == job_outcome::refused || answer.outcome == job_outcome::failed;
+    body["may_have_run"] = answer.mayHaveRun || !ended;
     json::array results;
     results.reserve(answer.results.size());
     for (const auto &result : answer.results) {
--- a/tests/http_request_test.cpp
+++ b/tests/http_request_test.cpp
@@ -125,6 +125,9 @@
     complete.results = {"one", "two"};
     CHECK(boost::json::parse(toJson(complete)).at("results").as_array().size() == 2);
     CHECK(httpStatus(complete) == 200);
+    // Guards against "not run" beside the outcome of tasks that ran or may still run.
+    CHECK(boost::json::parse(toJson(complete)).at("may_have_run") == true);
+    CHECK(boost::json::parse(toJson(job_answer{})).at("may_have_run") == true);
     CHECK(httpStatus(job_answer{}) == 202);
 }
 
