Do not call a job without a record not run after a graceful stop

Cause: found in the read-through. A job that starts while the backup is silent sends neither a record nor a close. home_stopping listed its session all the same, so after a graceful stop the backup refused a resubmission as 'stopping', "not run", although the job had run (R5).

Change: the home remembers a job that the backup was told nothing of; then no session is listed and the answer is outcome_unknown, as before home_stopping listed sessions. The condition is one predicate of the home, allEndsKnown().

--- a/include/bamboohead/detail/entry/home_table.hpp
+++ b/include/bamboohead/detail/entry/home_table.hpp
@@ -34,13 +34,20 @@
     std::uint64_t lastJob = 0;
     std::uint64_t lastClose = 0;
     bool closeLost = false; ///< a close was given up; the backup may hold the job's record for long
-    std::size_t removals = 0; ///< members that are held dead
+    bool jobUnrecorded = false; ///< a job ran of which the backup was told nothing
+    std::size_t removals = 0;   ///< members that are held dead
     boost::unordered_flat_map<incarnation_id, member> scope;
     home_jobs jobs;
     home_closes closes; ///< unacknowledged closes by closeOrder
 
     [[nodiscard]] bool hasBackup() const noexcept { return home.backup != incarnation_id::none; }
 
+    /// @brief Whether the backup knows how every job of the home ended.
+    [[nodiscard]] bool allEndsKnown() const
+    {
+        return jobs.empty() && closes.empty() && !closeLost && !jobUnrecorded;
+    }
+
     /// @brief Whether the backup would fence this agent (design 2.1, rule 3).
     [[nodiscard]] bool usable(incarnation_id agent) const
     {
--- a/src/entry/record_keeper.cpp
+++ b/src/entry/record_keeper.cpp
@@ -12,6 +12,7 @@
 bool record_keeper::put(job_record &job, primary_home &home)
 {
     if (!home.hasBackup() || !m_ctx.alive(home.home.backup)) {
+        home.jobUnrecorded = true;
         return false;
     }
     wire::Envelope envelope;
--- a/src/entry/shutdown.cpp
+++ b/src/entry/shutdown.cpp
@@ -33,9 +33,7 @@
         wire::Envelope envelope;
         auto &stopping = *envelope.mutable_home_stopping();
         toWire(id, *stopping.mutable_home());
-        const bool allEndsKnown = home.jobs.empty() && home.closes.empty() && !home.closeLost &&
-                                  m_ctx.jobs.lostCloses.empty();
-        if (allEndsKnown) {
+        if (home.allEndsKnown() && m_ctx.jobs.lostCloses.empty()) {
             const auto open = m_ctx.jobs.sessionsOf(id, m_ctx.now() - sessionValidity);
             stopping.mutable_sessions()->Assign(open.begin(), open.end());
         }
--- a/tests/entry_takeover_test.cpp
+++ b/tests/entry_takeover_test.cpp
@@ -281,6 +281,34 @@
     CHECK(open(1).home != session.home);
 }
 
+TEST_CASE_FIXTURE(three_entries,
+                  "a job that ran without a record is not called not run after a stop")
+{
+    // Guards against a false "not run" by a backup that was silent while the job ran (R5).
+    lose = [](const wire::Envelope &envelope) {
+        return envelope.sender() == 2 && envelope.receiver() == 1;
+    };
+    run(2500ms);
+    submit(1, 5, job(session, 1));
+    run(20ms);
+    auto &agent = graz.orders.empty() ? linz : graz;
+    REQUIRE(agent.orders.size() == 1);
+    sendUpdate(agent, 1, agent.update(0, wire::TASK_STATE_FINISHED, "r"));
+    REQUIRE(answer(5).outcome == job_outcome::complete);
+    lose = [](const auto &) { return false; };
+    run(500ms);
+    REQUIRE(entry(2).counters().takeovers == 0);
+    entry(1).stop();
+    run(1s);
+    REQUIRE(stopped.contains(1));
+    kill("e1");
+    run(3s);
+    submit(3, 7, job(session, 1));
+    run(1s);
+    CHECK(answer(7).mayHaveRun);
+    CHECK(answer(7).error == error_kind::outcome_unknown);
+}
+
 TEST_CASE_FIXTURE(three_entries,
                   "after a graceful stop new jobs of a session are refused as not run")
 {
