--- a/include/bamboohead/clock.hpp
+++ b/include/bamboohead/clock.hpp
@@ -25,6 +25,14 @@
     }
 };
 
+/// @brief Reads the clock that also advances while the whole machine is suspended, which the steady
+///        clock of Linux does not. A lease that was held before a suspension is then seen to be over.
+class suspend_aware_clock final : public clock
+{
+public:
+    [[nodiscard]] time_point now() const override;
+};
+
 /// @brief Clock that moves only when told to; for tests and benches.
 class manual_clock final : public clock
 {
--- a/include/bamboohead/commands.hpp
+++ b/include/bamboohead/commands.hpp
@@ -17,6 +17,8 @@
 /// @{
 int entryCommand(int argc, char **argv);
 int agentCommand(int argc, char **argv);
+int dispatchEntryCommand(int argc, char **argv);
+int dispatchAgentCommand(int argc, char **argv);
 int submitCommand(int argc, char **argv);
 int manifestCommand(int argc, char **argv);
 int zoneCommand(int argc, char **argv);
--- /dev/null
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "bamboohead/dispatch/batch_job.hpp"
+#include "bamboohead/dispatch/fleet_member.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bamboohead {
+
+/// @brief An order that an agent has not ended yet.
+struct outstanding_run
+{
+    resources demand;
+    std::uint64_t orderNumber = 0;
+    time_point ordered;
+    bool stopping = false;
+    time_point stopSent;
+};
+
+/// @brief What an entry knows of one agent.
+struct agent_view
+{
+    incarnation_id incarnation = incarnation_id::none;
+    std::string endpoint;
+    std::string zone;
+    std::string service;
+    std::string target;
+    std::vector<std::string> labels;
+    bool ready = false;
+    bool cleared = false;
+    resources capacity;
+    resources committed;            ///< all runs at the agent, as of its newest report
+    std::uint64_t ordersHandled = 0; ///< newest message of orders that `committed` includes
+    std::uint64_t ordersSent = 0;
+    std::uint64_t endsSeen = 0;
+    time_point lastPulse;
+    time_point lastMembers;
+    std::map<run_ref, outstanding_run> outstanding;
+    time_point fullUntil; ///< refused an order for want of room
+
+    /// @brief Demand of orders that the newest report does not include.
+    [[nodiscard]] resources unseen() const;
+};
+
+/// @brief What a placement needs to know of a task.
+struct placement_request
+{
+    batch_job_id job{};
+    std::uint32_t step = 0;
+    const batch_step *work = nullptr;
+    std::string_view service;
+    incarnation_id avoid = incarnation_id::none;
+};
+
+/// @brief Agents known to an entry, and the choice among them.
+class agent_pool
+{
+public:
+    agent_pool(const fleet_member &member, std::uint64_t seed)
+        : m_member{member}
+        , m_random{seed}
+    {}
+
+    [[nodiscard]] std::map<incarnation_id, agent_view> &agents() noexcept { return m_agents; }
+    [[nodiscard]] const std::map<incarnation_id, agent_view> &agents() const noexcept
+    {
+        return m_agents;
+    }
+    [[nodiscard]] agent_view *find(incarnation_id agent);
+
+    /// @brief Chooses an agent with room for a task now, else one with room in its queue.
+    ///
+    /// Among agents with room the choice is random, weighted by free processors: entries with the
+    /// same view would otherwise all choose the same agent.
+    /// @return Null when no agent has room.
+    [[nodiscard]] agent_view *choose(const placement_request &request);
+
+    /// @brief Whether an agent may get orders.
+    [[nodiscard]] bool usable(const agent_view &agent) const;
+    [[nodiscard]] std::size_t usableAgents(std::string_view service) const;
+    /// @brief Resources of all usable agents of a service.
+    [[nodiscard]] resources capacity(std::string_view service) const;
+
+private:
+    [[nodiscard]] bool fits(const agent_view &agent, const placement_request &request) const;
+    [[nodiscard]] static std::uint32_t tasksOf(const agent_view &agent,
+                                               const placement_request &request);
+
+    const fleet_member &m_member;
+    std::map<incarnation_id, agent_view> m_agents;
+    std::mt19937_64 m_random;
+};
+
+} // namespace bamboohead
--- /dev/null
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "bamboohead/dispatch/fleet_member.hpp"
+#include "bamboohead/dispatch/target_session.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace bamboohead {
+
+/// @brief Times of an agent that serves jobs by resources.
+struct dispatch_agent_limits
+{
+    /// Runs of an entry that has echoed no stamp for this long are stopped. Together with the
+    /// target's lease it ends before a caller that lost its entry sends its job again.
+    duration entryLease = std::chrono::milliseconds{600};
+    /// Orders whose sender knew less than this long ago are accepted.
+    duration orderAge = std::chrono::milliseconds{600};
+    duration busyPulse = std::chrono::milliseconds{100}; ///< to entries with runs here
+    duration idlePulse = std::chrono::milliseconds{500}; ///< to other entries
+    /// The platform ends a process that was asked to stop after 6 s.
+    duration drainLimit = std::chrono::milliseconds{5'000};
+    /// Demand that may wait for room, in percent of the capacity. It hides the round trip to the
+    /// entries: a task that ends is followed by one that is already here.
+    std::uint64_t queuePercent = 25;
+};
+
+/// @brief Construction options of a dispatch_agent.
+struct dispatch_agent_options
+{
+    process_identity self;
+    std::vector<std::string> contacts; ///< endpoints of processes that may know entries
+    std::uint64_t firstFence = 1;      ///< higher than that of earlier agents of the target
+    dispatch_agent_limits limits;
+    target_session_limits target;
+};
+
+/// @brief Decisions of an agent that runs tasks by their resources. Performs no I/O.
+///
+/// Accepts orders while the target has room for them, starts the most urgent first, stops runs
+/// whose entry is silent, and reports each end until its entry has acknowledged it.
+class dispatch_agent
+{
+public:
+    dispatch_agent(dispatch_agent_options options, const clock &clock);
+
+    // Inputs
+
+    void receive(const wire::Envelope &envelope);
+    /// @brief The target has reported itself; the report counts as received in any case.
+    void targetReported(const target_report &report);
+    void targetLeft(const std::string &targetId);
+    void callEnded(const target_reply &reply);
+    void entriesFound(const std::vector<std::string> &endpoints);
+    void configRead(const desired_state &state);
+    void tick();
+    /// @brief Starts a graceful shutdown: no new orders, runs end, then the process may exit.
+    void stop();
+
+    // Outputs
+
+    [[nodiscard]] std::vector<dispatch_action> takeActions();
+    /// @brief Whether an entry has been heard lately.
+    [[nodiscard]] bool connected() const;
+    [[nodiscard]] boost::json::value dump() const;
+
+private:
+    struct entry_link
+    {
+        std::uint64_t ordersHandled = 0;
+        std::uint64_t endsCounted = 0;
+        std::deque<wire::RunEnd> unacked;
+        std::size_t unsent = 0; ///< newest of `unacked` that were not sent yet
+        time_point lastReport;
+    };
+
+    /// Lower keys start first.
+    using queue_key = std::tuple<std::uint32_t, std::uint64_t>;
+
+    struct held_run
+    {
+        incarnation_id entry = incarnation_id::none;
+        std::string spec;
+        resources demand;
+        queue_key key;
+        time_point expires;
+        bool queued = true;
+        bool stopping = false;
+    };
+
+    void ordersReceived(incarnation_id sender, const wire::DispatchOrders &message,
+                        const reception &verdict);
+    void acceptAll(incarnation_id entry, const wire::DispatchOrders &message, bool fresh);
+    void accept(incarnation_id entry, const wire::RunOrder &order, const wire::RunTask &task,
+                bool fresh);
+    [[nodiscard]] error_kind refusalOf(const run_ref &ref, const resources &demand,
+                                       bool fresh) const;
+    void reconcile(incarnation_id entry, const wire::DispatchOrders &message);
+    void stopRun(const run_ref &ref);
+    void startQueued();
+    void stopOrphans();
+    void takeSessionResults();
+    void sessionEnded(const session_end &end);
+    void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime);
+    void sendReports();
+    void sendReport(incarnation_id entry, entry_link &link, bool whole);
+    [[nodiscard]] bool hasRunsOf(incarnation_id entry) const;
+    [[nodiscard]] resources committed() const;
+    [[nodiscard]] bool takesOrders() const;
+
+    dispatch_agent_options m_options;
+    fleet_member m_member;
+    target_session m_session;
+    std::map<incarnation_id, entry_link> m_entries;
+    std::map<run_ref, held_run> m_runs;
+    std::map<queue_key, run_ref> m_queue;
+    resources m_queued;
+    std::uint64_t m_arrivals = 0;
+    bool m_readyReported = false;
+    std::optional<time_point> m_stopSince;
+    bool m_done = false;
+};
+
+} // namespace bamboohead
--- /dev/null
+++ b/include/bamboohead/dispatch/run_ref.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "bamboohead/wire.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboohead {
+
+/// @brief Id of a job, chosen by its caller.
+enum class batch_job_id : std::uint64_t {};
+
+/// @brief One task of a step of a job.
+struct batch_task
+{
+    batch_job_id job{};
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    // clang-tidy 14 takes a defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const batch_task &) const = default;
+};
+
+/// @brief One start of a task; the first run has number 1.
+struct run_ref
+{
+    batch_task task;
+    std::uint32_t run = 0;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const run_ref &) const = default;
+};
+
+/// @brief Sixteen hexadecimal digits in lower case.
+[[nodiscard]] std::string toText(batch_job_id id);
+
+/// @brief Text form `<job>.<step>.<index>#<run>`, for log lines.
+[[nodiscard]] std::string toText(const run_ref &ref);
+
+/// @brief Parses sixteen hexadecimal digits in lower case.
+/// @return Nothing when the text has another form.
+[[nodiscard]] std::optional<batch_job_id> parseBatchJobId(std::string_view text);
+
+/// @brief Conversions to and from the protobuf form.
+/// @{
+[[nodiscard]] run_ref fromWire(const wire::RunRef &ref);
+void toWire(const run_ref &ref, wire::RunRef &out);
+/// @}
+
+} // namespace bamboohead
+
+template <>
+struct std::hash<bamboohead::batch_job_id>
+{
+    std::size_t operator()(bamboohead::batch_job_id id) const noexcept
+    {
+        return std::hash<std::uint64_t>{}(static_cast<std::uint64_t>(id));
+    }
+};
--- a/include/bamboohead/error_kind.hpp
+++ b/include/bamboohead/error_kind.hpp
@@ -24,6 +24,8 @@
     not_current = 206,
     unknown_service = 207,
     unknown_team = 208,
+    unknown_route = 209,
+    unsupported_job = 210,
     // Failed; tasks may have run.
     task_failed = 301,
     outcome_unknown = 302,
@@ -41,6 +43,7 @@
     agent_not_current = 407,
     target_refused = 408,
     order_void = 409,
+    no_room = 410,
     // Configuration, store and process.
     manifest_invalid = 501,
     manifest_conflict = 502,
--- a/include/bamboohead/logging.hpp
+++ b/include/bamboohead/logging.hpp
@@ -40,4 +40,8 @@
 /// @brief Writes one line; callable from any thread. Without a log_session nothing is written.
 void logLine(log_level level, std::string_view name, const log_fields &fields);
 
+/// @brief Writes lines that wait for standard output, without blocking. Only for processes that log
+///        there; they call it from time to time.
+void flushLog();
+
 } // namespace bamboohead
--- a/include/bamboohead/process.hpp
+++ b/include/bamboohead/process.hpp
@@ -12,4 +12,14 @@
 /// @throw std::runtime_error when an address cannot be bound.
 void runAgent(const process_settings &settings);
 
+/// @brief Runs an entry on the users' platform until it is stopped.
+/// @param settingsFile Read again on SIGHUP and when it changes.
+/// @throw std::exception when an address cannot be bound.
+void runDispatchEntry(const process_settings &settings, const std::string &settingsFile);
+
+/// @brief Runs an agent on the users' platform until it is stopped.
+/// @param settingsFile Read again on SIGHUP and when it changes.
+/// @throw std::exception when an address cannot be bound.
+void runDispatchAgent(const process_settings &settings, const std::string &settingsFile);
+
 } // namespace bamboohead
--- a/include/bamboohead/settings.hpp
+++ b/include/bamboohead/settings.hpp
@@ -45,6 +45,18 @@
     std::uint64_t seed = 0; ///< 0 means a random seed
 };
 
+/// @brief Settings of processes that serve jobs on the users' platform.
+struct dispatch_settings
+{
+    std::string callers;   ///< host:port that an entry binds for callers
+    std::string readiness; ///< host:port that an entry binds for the balancer's checks
+    std::string targets;   ///< host:port that an agent binds for the reports of its target
+    std::string store;     ///< host:port of the platform's store
+    /// host:port of agents that may know entries; only the hosts are used, with the port of this
+    /// process's own endpoint.
+    std::vector<std::string> contacts;
+};
+
 /// @brief All settings of a process.
 struct process_settings
 {
@@ -55,6 +67,7 @@
     http_settings http;
     entry_settings entry;
     agent_settings agent;
+    dispatch_settings dispatch;
 };
 
 /// @brief Kind of a setting's value.
--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -79,6 +79,10 @@
     ///        `limit` has passed. Negative descriptors are left out.
     wait_result wait(duration limit, int wakeDescriptor, int signalDescriptor);
 
+    /// @brief Descriptor that becomes readable when messages may have arrived; receiveAll() has to
+    ///        take all of them before the next wait for it.
+    [[nodiscard]] int descriptor() const;
+
     /// @brief Passes messages that have arrived to `receive`, at most `most`.
     /// @return How many were taken.
     std::size_t receiveAll(const receiver &receive, std::size_t most);
--- a/include/bamboohead/wire.hpp
+++ b/include/bamboohead/wire.hpp
@@ -32,12 +32,12 @@
 }
 
 /// @brief Names of the message kinds, as in the field names of the envelope's payload.
-inline constexpr std::array<std::string_view, 21> messageKinds{
+inline constexpr std::array<std::string_view, 24> messageKinds{
         "hello",        "member_list",      "entry_heartbeat", "agent_heartbeat", "start_tasks",
         "task_updates", "update_ack",       "task_query",      "record_put",      "record_ack",
         "record_close", "record_close_ack", "scope_update",    "scope_ack",       "fence_request",
         "fence_report", "home_stopping",    "job_forward",     "job_reply",       "config_pull",
-        "config_push",
+        "config_push",  "dispatch_orders",  "dispatch_report", "entry_sync",
 };
 
 /// @brief Index into messageKinds of an envelope's payload.
--- a/src/adapters/logging.cpp
+++ b/src/adapters/logging.cpp
@@ -1,5 +1,6 @@
 #include "bamboohead/logging.hpp"
 
+#include <log4cplus/appender.h>
 #include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -10,11 +11,15 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace bamboohead {
 
 namespace {
 
+constexpr std::string_view standardOutput = "-";
 constexpr std::string_view loggerName = "bamboohead";
 constexpr std::string_view linePattern = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n";
 constexpr unsigned queuedLines = 10'000;
@@ -64,6 +69,67 @@
     }
 }
 
+/// Collects lines for standard output. A reader that falls behind costs lines, which are counted,
+/// and never time.
+class output_appender : public log4cplus::Appender
+{
+public:
+    ~output_appender() override { destructorImpl(); }
+
+    void close() override
+    {
+        flush();
+        closed = true;
+    }
+
+    void flush()
+    {
+        const std::lock_guard guard{m_mutex};
+        if (m_dropped > 0 && m_lines.size() < maxWaitingBytes) {
+            m_lines += "level=WARN event=log_lines_dropped count=" + std::to_string(m_dropped) + "\n";
+            m_dropped = 0;
+        }
+        std::size_t written = 0;
+        while (written < m_lines.size() && writable()) {
+            const auto part = std::min(m_lines.size() - written, pipeBytes);
+            const auto count = ::write(STDOUT_FILENO, m_lines.data() + written, part);
+            if (count <= 0) {
+                break;
+            }
+            written += static_cast<std::size_t>(count);
+        }
+        m_lines.erase(0, written);
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const std::lock_guard guard{m_mutex};
+        if (m_lines.size() >= maxWaitingBytes) {
+            ++m_dropped;
+            return;
+        }
+        m_lines += formatEvent(event);
+    }
+
+private:
+    static constexpr std::size_t maxWaitingBytes = std::size_t{1} << 20U;
+    /// A pipe that poll() reports as writable takes this many bytes without blocking (PIPE_BUF).
+    static constexpr std::size_t pipeBytes = 4'096;
+
+    static bool writable()
+    {
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        return ::poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+    }
+
+    std::mutex m_mutex;
+    std::string m_lines;
+    std::uint64_t m_dropped = 0;
+};
+
+output_appender *outputAppender = nullptr; ///< of the open session, if it logs to standard output
+
 log4cplus::SharedAppenderPtr makeAppender(const log_settings &settings)
 {
     if (settings.file.empty()) {
@@ -73,6 +139,12 @@
             new log4cplus::RollingFileAppender{settings.file, maxFileBytes, keptFiles, true, true}};
 }
 
+log4cplus::SharedAppenderPtr makeOutputAppender()
+{
+    outputAppender = new output_appender;
+    return log4cplus::SharedAppenderPtr{outputAppender};
+}
+
 } // namespace
 
 class log_session::implementation
@@ -80,19 +152,24 @@
 public:
     explicit implementation(const log_settings &settings)
     {
-        auto appender = makeAppender(settings);
+        const bool toOutput = settings.file == standardOutput;
+        auto appender = toOutput ? makeOutputAppender() : makeAppender(settings);
         appender->setLayout(std::make_unique<log4cplus::PatternLayout>(std::string{linePattern}));
         auto logger = log4cplus::Logger::getInstance(std::string{loggerName});
         logger.setLogLevel(logLevel(settings.level));
         logger.setAdditivity(false);
-        logger.addAppender(
-                log4cplus::SharedAppenderPtr{new log4cplus::AsyncAppender{appender, queuedLines}});
+        if (!toOutput) {
+            appender = new log4cplus::AsyncAppender{appender, queuedLines};
+        }
+        logger.addAppender(appender);
         logOpen = true;
     }
 
     ~implementation()
     {
         logOpen = false;
+        flushLog();
+        outputAppender = nullptr;
         log4cplus::Logger::getInstance(std::string{loggerName}).removeAllAppenders();
     }
 
@@ -109,6 +186,13 @@
 
 log_session::~log_session() = default;
 
+void flushLog()
+{
+    if (outputAppender != nullptr) {
+        outputAppender->flush();
+    }
+}
+
 std::string escapeLogValue(std::string_view value)
 {
     if (!value.empty() && std::ranges::none_of(value, needsQuotes)) {
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -149,7 +149,7 @@
                         [](auto &settings, auto value) { settings.seeds = std::move(value); }),
             choiceSetting("/log/level", R"("info")", "debug, info, warning, error",
                           "Least severity that is logged.", isLevel, assignLevel),
-            textSetting("/log/file", R"("")", "a path, or empty for standard error",
+            textSetting("/log/file", R"("")", "a path, - for standard output, or empty for standard error",
                         "File that log lines are appended to.", isAnyText,
                         [](auto &settings, auto value) { settings.log.file = std::move(value); }),
             textSetting(
@@ -202,11 +202,46 @@
     };
 }
 
+std::vector<setting_description> dispatchSettings()
+{
+    return {
+            textSetting("/dispatch/callers", R"("")", "host:port, or empty",
+                        "Address that an entry binds for the platform's callers.", isAddressOrEmpty,
+                        [](auto &settings, auto value) {
+                            settings.dispatch.callers = std::move(value);
+                        }),
+            textSetting("/dispatch/readiness", R"("")", "host:port, or empty",
+                        "Address that an entry binds for the balancer's checks.", isAddressOrEmpty,
+                        [](auto &settings, auto value) {
+                            settings.dispatch.readiness = std::move(value);
+                        }),
+            textSetting("/dispatch/targets", R"("")", "host:port, or empty",
+                        "Address that an agent binds for the reports of its target.",
+                        isAddressOrEmpty,
+                        [](auto &settings, auto value) {
+                            settings.dispatch.targets = std::move(value);
+                        }),
+            textSetting("/dispatch/store", R"("")", "host:port, or empty",
+                        "Address of the platform's store.", isAddressOrEmpty,
+                        [](auto &settings, auto value) {
+                            settings.dispatch.store = std::move(value);
+                        }),
+            listSetting("/dispatch/contacts", "up to 16 of host:port",
+                        "Agents that may know entries; only the hosts are used, with the port of "
+                        "the process's own endpoint.",
+                        maxSeeds, isAddress,
+                        [](auto &settings, auto value) {
+                            settings.dispatch.contacts = std::move(value);
+                        }),
+    };
+}
+
 std::vector<setting_description> allSettings()
 {
     auto rows = commonSettings();
-    const auto more = roleSettings();
-    rows.insert(rows.end(), more.begin(), more.end());
+    for (const auto &more : {roleSettings(), dispatchSettings()}) {
+        rows.insert(rows.end(), more.begin(), more.end());
+    }
     return rows;
 }
 
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -74,6 +74,8 @@
 
     std::string endpoint() const { return m_inbox.get(zmq::sockopt::last_endpoint); }
 
+    int descriptor() const { return m_inbox.get(zmq::sockopt::fd); }
+
     void send(const std::string &endpoint, const wire::Envelope &envelope)
     {
         auto payload = envelope.SerializeAsString();
@@ -255,6 +257,11 @@
     return m_impl->endpoint();
 }
 
+int transport::descriptor() const
+{
+    return m_impl->descriptor();
+}
+
 void transport::send(const std::string &endpoint, const wire::Envelope &envelope)
 {
     m_impl->send(endpoint, envelope);
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -17,6 +17,10 @@
 constexpr std::array subcommands{
         subcommand{"entry", "run an entry", bamboohead::entryCommand},
         subcommand{"agent", "run an agent", bamboohead::agentCommand},
+        subcommand{"dispatch-entry", "run an entry on the users' platform",
+                   bamboohead::dispatchEntryCommand},
+        subcommand{"dispatch-agent", "run an agent on the users' platform",
+                   bamboohead::dispatchAgentCommand},
         subcommand{"submit", "submit a job and print its answer", bamboohead::submitCommand},
         subcommand{"manifest", "check, print or apply the manifest", bamboohead::manifestCommand},
         subcommand{"zone", "take a zone out of service or back in", bamboohead::zoneCommand},
--- a/src/commands/processes.cpp
+++ b/src/commands/processes.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-using process_function = void (*)(const process_settings &);
+using process_function = void (*)(const process_settings &, const std::string &);
 
 int runWith(const std::string &file, bool checkOnly, process_function run)
 {
@@ -24,7 +24,7 @@
         std::cout << file << ": valid\n";
         return exit_ok;
     }
-    run(std::get<process_settings>(result));
+    run(std::get<process_settings>(result), file);
     return exit_ok;
 }
 
@@ -42,12 +42,28 @@
 
 int entryCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an entry, which accepts and places jobs.", runEntry);
+    return processCommand(argc, argv, "Runs an entry, which accepts and places jobs.",
+                          [](const process_settings &settings, const std::string &) {
+                              runEntry(settings);
+                          });
 }
 
 int agentCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an agent beside a target.", runAgent);
+    return processCommand(argc, argv, "Runs an agent beside a target.",
+                          [](const process_settings &settings, const std::string &) {
+                              runAgent(settings);
+                          });
+}
+
+int dispatchEntryCommand(int argc, char **argv)
+{
+    return processCommand(argc, argv, "Runs an entry on the users' platform.", runDispatchEntry);
+}
+
+int dispatchAgentCommand(int argc, char **argv)
+{
+    return processCommand(argc, argv, "Runs an agent on the users' platform.", runDispatchAgent);
 }
 
 int settingsCommand(int argc, char **argv)
--- /dev/null
+++ b/src/dispatch/dispatch_agent.cpp
@@ -0,0 +1,470 @@
+#include "bamboohead/dispatch/dispatch_agent.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace bamboohead {
+
+namespace {
+
+constexpr std::uint64_t percent = 100;
+constexpr std::size_t maxEndsPerReport = 500;
+constexpr duration deadEntryLimit = std::chrono::seconds{3};
+
+std::uint32_t toMilliseconds(duration time)
+{
+    return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+dispatch_agent::dispatch_agent(dispatch_agent_options options, const clock &clock)
+    : m_options{std::move(options)}
+    , m_member{m_options.self, clock}
+    , m_session{clock, m_options.firstFence, m_options.target}
+{
+    m_member.addContacts(m_options.contacts);
+}
+
+void dispatch_agent::receive(const wire::Envelope &envelope)
+{
+    const auto verdict = m_member.receive(envelope);
+    if (verdict.accepted && envelope.payload_case() == wire::Envelope::kDispatchOrders) {
+        ordersReceived(incarnation_id{envelope.sender()}, envelope.dispatch_orders(), verdict);
+    }
+}
+
+void dispatch_agent::ordersReceived(incarnation_id sender, const wire::DispatchOrders &message,
+                                    const reception &verdict)
+{
+    auto &entry = m_entries[sender];
+    m_member.peerHolds(sender, message.config_version());
+    while (!entry.unacked.empty() && entry.unacked.front().number() <= message.ends_seen()) {
+        entry.unacked.pop_front();
+    }
+    entry.unsent = std::min(entry.unsent, entry.unacked.size());
+    for (const auto &stop : message.stops()) {
+        stopRun(fromWire(stop));
+    }
+    const bool fresh = verdict.age && *verdict.age <= m_options.limits.orderAge;
+    // Messages on a new connection may overtake older ones, which no longer count then.
+    if (message.number() >= entry.ordersHandled) {
+        const bool repeated = message.number() == entry.ordersHandled;
+        entry.ordersHandled = message.number();
+        if (!repeated) {
+            acceptAll(sender, message, fresh);
+        }
+        if (message.reconcile()) {
+            reconcile(sender, message);
+        }
+    }
+    startQueued();
+}
+
+error_kind dispatch_agent::refusalOf(const run_ref &ref, const resources &demand, bool fresh) const
+{
+    if (!fresh) {
+        return error_kind::order_stale;
+    }
+    if (m_stopSince) {
+        return error_kind::target_leaving;
+    }
+    if (m_member.config().zoneOut(m_member.self().zone)) {
+        return error_kind::zone_out;
+    }
+    if (!m_session.ready()) {
+        return error_kind::target_refused;
+    }
+    const auto first = m_runs.lower_bound(run_ref{ref.task, 0});
+    if (first != m_runs.end() && first->first.task == ref.task) {
+        return error_kind::order_duplicate;
+    }
+    auto room = m_session.target()->capacity;
+    if (!demand.fitsIn(room)) {
+        return error_kind::no_room;
+    }
+    room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
+    room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
+    return (committed() + demand).fitsIn(room) ? error_kind::none : error_kind::no_room;
+}
+
+void dispatch_agent::acceptAll(incarnation_id entry, const wire::DispatchOrders &message, bool fresh)
+{
+    for (const auto &order : message.orders()) {
+        for (const auto &task : order.tasks()) {
+            accept(entry, order, task, fresh);
+        }
+    }
+}
+
+void dispatch_agent::accept(incarnation_id entry, const wire::RunOrder &order,
+                            const wire::RunTask &task, bool fresh)
+{
+    const run_ref ref{{batch_job_id{order.job()}, order.step(), task.index()}, task.run()};
+    if (m_runs.contains(ref)) {
+        return;
+    }
+    const auto demand = fromWire(order.demand());
+    const auto refusal = refusalOf(ref, demand, fresh);
+    held_run run;
+    run.entry = entry;
+    run.demand = demand;
+    if (refusal != error_kind::none) {
+        m_member.log("order_refused", {{"run", toText(ref)},
+                                       {"entry", toText(entry)},
+                                       {"reason", std::string{answerFor(refusal).name}},
+                                       {"committed_cpu", std::to_string(committed().cpuMillis)}});
+        run.queued = false;
+        m_runs.emplace(ref, std::move(run));
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, refusal, {});
+        return;
+    }
+    run.spec = order.spec();
+    run.key = {order.priority(), ++m_arrivals};
+    run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
+    m_queue.emplace(run.key, ref);
+    m_queued += demand;
+    m_runs.emplace(ref, std::move(run));
+}
+
+void dispatch_agent::reconcile(incarnation_id entry, const wire::DispatchOrders &message)
+{
+    std::set<run_ref> wanted;
+    for (const auto &ref : message.wanted()) {
+        wanted.insert(fromWire(ref));
+    }
+    std::vector<run_ref> unwanted;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.entry == entry && !run.stopping && !wanted.contains(ref)) {
+            unwanted.push_back(ref);
+        }
+    }
+    for (const auto &ref : unwanted) {
+        m_member.log("run_not_wanted", {{"run", toText(ref)}, {"entry", toText(entry)}});
+        stopRun(ref);
+    }
+}
+
+void dispatch_agent::stopRun(const run_ref &ref)
+{
+    const auto found = m_runs.find(ref);
+    if (found == m_runs.end() || found->second.stopping) {
+        return;
+    }
+    found->second.stopping = true;
+    if (found->second.queued) {
+        endRun(ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, {});
+    } else {
+        m_session.stop(ref);
+    }
+}
+
+void dispatch_agent::startQueued()
+{
+    if (!m_session.ready() || m_member.config().zoneOut(m_member.self().zone)) {
+        return;
+    }
+    auto room = m_session.target()->capacity - m_session.committed();
+    std::vector<std::pair<queue_key, run_ref>> started;
+    for (const auto &[key, ref] : m_queue) {
+        auto &run = m_runs.at(ref);
+        // Later runs wait for the first one, or a large run would never start.
+        if (!run.demand.fitsIn(room)) {
+            break;
+        }
+        room -= run.demand;
+        started.emplace_back(key, ref);
+    }
+    for (const auto &[key, ref] : started) {
+        auto &run = m_runs.at(ref);
+        run.queued = false;
+        m_queue.erase(key);
+        m_queued -= run.demand;
+        m_session.start(ref, run.spec, run.demand);
+        m_member.log("run_started", {{"run", toText(ref)},
+                                     {"entry", toText(run.entry)},
+                                     {"committed_cpu", std::to_string(committed().cpuMillis)},
+                                     {"config", std::to_string(m_member.config().revision)}});
+    }
+}
+
+void dispatch_agent::targetReported(const target_report &report)
+{
+    m_session.report(report);
+    takeSessionResults();
+    startQueued();
+}
+
+void dispatch_agent::targetLeft(const std::string &targetId)
+{
+    m_session.leave(targetId);
+}
+
+void dispatch_agent::callEnded(const target_reply &reply)
+{
+    m_session.handle(reply);
+    takeSessionResults();
+    startQueued();
+}
+
+void dispatch_agent::entriesFound(const std::vector<std::string> &endpoints)
+{
+    m_member.addContacts(endpoints);
+}
+
+void dispatch_agent::configRead(const desired_state &state)
+{
+    m_member.adopt(state, "store");
+}
+
+void dispatch_agent::takeSessionResults()
+{
+    for (auto &[name, fields] : m_session.takeEvents()) {
+        m_member.log(std::move(name), std::move(fields));
+    }
+    for (const auto &end : m_session.takeEnds()) {
+        sessionEnded(end);
+    }
+}
+
+void dispatch_agent::sessionEnded(const session_end &end)
+{
+    const auto found = m_runs.find(end.ref);
+    if (found == m_runs.end()) {
+        return;
+    }
+    switch (end.how) {
+    case session_end::kind::done:
+        endRun(end.ref, wire::RUN_OUTCOME_DONE, error_kind::none, end.runTime);
+        break;
+    case session_end::kind::failed:
+        endRun(end.ref, wire::RUN_OUTCOME_FAILED, error_kind::none, end.runTime);
+        break;
+    case session_end::kind::stopped:
+        endRun(end.ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, end.runTime);
+        break;
+    case session_end::kind::lost:
+        endRun(end.ref, wire::RUN_OUTCOME_LOST, error_kind::none, end.runTime);
+        break;
+    case session_end::kind::not_started: {
+        auto &run = found->second;
+        if (end.refusal == start_refusal::retry && !run.stopping && m_member.now() < run.expires) {
+            run.queued = true;
+            m_queue.emplace(run.key, end.ref);
+            m_queued += run.demand;
+            break;
+        }
+        const auto error = end.refusal == start_refusal::old_run   ? error_kind::order_void
+                           : end.refusal == start_refusal::no_room ? error_kind::no_room
+                                                                   : error_kind::target_refused;
+        endRun(end.ref, wire::RUN_OUTCOME_REFUSED, error, {});
+        break;
+    }
+    }
+}
+
+void dispatch_agent::endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error,
+                            duration runTime)
+{
+    const auto found = m_runs.find(ref);
+    const auto &run = found->second;
+    if (run.queued) {
+        m_queue.erase(run.key);
+        m_queued -= run.demand;
+    }
+    auto &entry = m_entries[run.entry];
+    wire::RunEnd end;
+    end.set_number(++entry.endsCounted);
+    toWire(ref, *end.mutable_run());
+    end.set_outcome(outcome);
+    end.set_error(toWire(error));
+    end.set_run_ms(toMilliseconds(runTime));
+    entry.unacked.push_back(std::move(end));
+    ++entry.unsent;
+    m_member.log("run_ended", {{"run", toText(ref)},
+                               {"entry", toText(run.entry)},
+                               {"outcome", wire::RunOutcome_Name(outcome)},
+                               {"run_ms", std::to_string(toMilliseconds(runTime))}});
+    m_runs.erase(found);
+}
+
+void dispatch_agent::stopOrphans()
+{
+    std::vector<run_ref> orphans;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.stopping) {
+            continue;
+        }
+        if (!m_member.links().alive(run.entry, m_options.limits.entryLease)) {
+            m_member.log("entry_silent", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
+            orphans.push_back(ref);
+        } else if (m_member.now() >= run.expires) {
+            m_member.log("run_expired", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
+            orphans.push_back(ref);
+        }
+    }
+    for (const auto &ref : orphans) {
+        stopRun(ref);
+    }
+}
+
+void dispatch_agent::tick()
+{
+    m_member.tick();
+    m_session.tick();
+    takeSessionResults();
+    stopOrphans();
+    startQueued();
+    for (const auto *const peer : m_member.links().peers(wire::ROLE_ENTRY)) {
+        m_entries.try_emplace(peer->incarnation);
+    }
+    std::erase_if(m_entries, [&](const auto &entry) {
+        return m_member.links().find(entry.first) == nullptr && !hasRunsOf(entry.first);
+    });
+    if (m_session.ready() != m_readyReported) {
+        m_readyReported = m_session.ready();
+        m_member.log("target_ready", {{"ready", m_readyReported ? "true" : "false"}});
+        for (auto &[incarnation, entry] : m_entries) {
+            entry.lastReport = {};
+        }
+    }
+    if (m_stopSince && !m_done &&
+        (m_runs.empty() || m_member.now() - *m_stopSince >= m_options.limits.drainLimit)) {
+        const bool told = std::ranges::all_of(
+                m_entries, [](const auto &entry) { return entry.second.unsent == 0; });
+        if (told) {
+            m_done = true;
+            m_member.push(shutdown_complete{});
+        }
+    }
+}
+
+void dispatch_agent::stop()
+{
+    if (m_stopSince) {
+        return;
+    }
+    m_stopSince = m_member.now();
+    m_member.log("draining", {{"runs", std::to_string(m_runs.size())}});
+    std::vector<run_ref> waiting;
+    for (const auto &[key, ref] : m_queue) {
+        waiting.push_back(ref);
+    }
+    for (const auto &ref : waiting) {
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::target_leaving, {});
+    }
+    for (auto &[incarnation, entry] : m_entries) {
+        entry.lastReport = {};
+    }
+}
+
+std::vector<dispatch_action> dispatch_agent::takeActions()
+{
+    for (auto &call : m_session.takeCalls()) {
+        m_member.push(std::move(call));
+    }
+    sendReports();
+    return m_member.takeActions();
+}
+
+void dispatch_agent::sendReports()
+{
+    const auto now = m_member.now();
+    for (auto &[incarnation, entry] : m_entries) {
+        const auto *const peer = m_member.links().find(incarnation);
+        if (peer == nullptr ||
+            now - std::max(peer->added, peer->lastArrival) > deadEntryLimit) {
+            continue;
+        }
+        const auto interval = hasRunsOf(incarnation) || !entry.unacked.empty()
+                                      ? m_options.limits.busyPulse
+                                      : m_options.limits.idlePulse;
+        const bool pulse = now - entry.lastReport >= interval;
+        if (pulse || entry.unsent > 0) {
+            sendReport(incarnation, entry, pulse);
+        }
+    }
+}
+
+void dispatch_agent::sendReport(incarnation_id entry, entry_link &link, bool whole)
+{
+    wire::Envelope envelope;
+    auto &report = *envelope.mutable_dispatch_report();
+    report.set_orders_handled(link.ordersHandled);
+    const auto count = std::min(whole ? link.unacked.size() : link.unsent, maxEndsPerReport);
+    const auto first = whole ? 0 : link.unacked.size() - link.unsent;
+    for (auto index = first; index < first + count; ++index) {
+        *report.add_ends() = link.unacked[index];
+    }
+    link.unsent = 0;
+    if (whole) {
+        link.lastReport = m_member.now();
+        report.set_reconcile(true);
+        for (const auto &[ref, run] : m_runs) {
+            if (run.entry == entry) {
+                toWire(ref, *report.add_held());
+            }
+        }
+    }
+    report.set_ready(takesOrders());
+    report.set_cleared(m_session.cleared());
+    report.set_config_version(m_member.config().revision);
+    toWire(committed(), *report.mutable_committed());
+    if (const auto &target = m_session.target(); target && whole) {
+        report.set_service(target->service);
+        report.set_target(target->life.id);
+        toWire(target->capacity, *report.mutable_capacity());
+        for (const auto &label : target->labels) {
+            report.add_labels(label);
+        }
+    }
+    m_member.send(entry, std::move(envelope));
+}
+
+bool dispatch_agent::hasRunsOf(incarnation_id entry) const
+{
+    return std::ranges::any_of(m_runs,
+                               [&](const auto &run) { return run.second.entry == entry; });
+}
+
+resources dispatch_agent::committed() const
+{
+    return m_session.committed() + m_queued;
+}
+
+bool dispatch_agent::takesOrders() const
+{
+    return m_session.ready() && !m_stopSince;
+}
+
+bool dispatch_agent::connected() const
+{
+    return std::ranges::any_of(m_member.links().peers(wire::ROLE_ENTRY), [&](const link *peer) {
+        return m_member.links().alive(peer->incarnation, deadEntryLimit);
+    });
+}
+
+boost::json::value dispatch_agent::dump() const
+{
+    boost::json::object root;
+    root["role"] = "agent";
+    root["incarnation"] = toText(m_member.self().incarnation);
+    root["zone"] = m_member.self().zone;
+    root["config_revision"] = m_member.config().revision;
+    root["ready"] = takesOrders();
+    root["draining"] = m_stopSince.has_value();
+    root["committed_cpu_millis"] = committed().cpuMillis;
+    root["entries"] = m_entries.size();
+    boost::json::array runs;
+    for (const auto &[ref, run] : m_runs) {
+        runs.push_back({{"run", toText(ref)},
+                        {"entry", toText(run.entry)},
+                        {"queued", run.queued},
+                        {"stopping", run.stopping}});
+    }
+    root["runs"] = std::move(runs);
+    return root;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/dispatch/dispatch_entry.cpp
@@ -0,0 +1,726 @@
+#include "bamboohead/dispatch/dispatch_entry.hpp"
+
+#include <algorithm>
+
+namespace bamboohead {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Jobs without room that are passed over for later ones before dispatching gives up.
+constexpr std::size_t maxPassedOver = 8;
+constexpr duration fullPause = 30ms; ///< an agent that refused for want of room gets no orders
+constexpr duration refusedPause = 200ms; ///< same, after refusals for other reasons
+constexpr duration shortRetry = 1s;      ///< told to callers when the cause may pass soon
+constexpr std::size_t maxEnded = 100'000;
+constexpr duration deadAgentLimit = 3s;
+constexpr duration membersInterval = 2s; ///< between lists of entries sent to an agent
+
+std::uint32_t toMilliseconds(duration time)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return count < 0 ? 0 : static_cast<std::uint32_t>(count);
+}
+
+} // namespace
+
+dispatch_entry::dispatch_entry(dispatch_entry_options options, const clock &clock)
+    : m_options{std::move(options)}
+    , m_member{m_options.self, clock}
+    , m_pool{m_member, m_options.seed}
+{
+    m_member.addContacts(m_options.contacts);
+}
+
+// Messages
+
+void dispatch_entry::receive(const wire::Envelope &envelope)
+{
+    const auto verdict = m_member.receive(envelope);
+    if (verdict.accepted && envelope.payload_case() == wire::Envelope::kDispatchReport) {
+        reportReceived(incarnation_id{envelope.sender()}, envelope);
+    }
+}
+
+void dispatch_entry::reportReceived(incarnation_id sender, const wire::Envelope &envelope)
+{
+    const auto &report = envelope.dispatch_report();
+    auto [position, added] = m_pool.agents().try_emplace(sender);
+    auto &agent = position->second;
+    if (added) {
+        agent.incarnation = sender;
+        m_member.log("agent_found", {{"agent", toText(sender)},
+                                     {"endpoint", envelope.endpoint()},
+                                     {"zone", envelope.zone()}});
+    }
+    agent.endpoint = envelope.endpoint();
+    agent.zone = envelope.zone();
+    m_member.peerHolds(sender, report.config_version());
+    updateView(agent, report);
+    for (const auto &end : report.ends()) {
+        runEnded(agent, fromWire(end.run()), end.outcome(), errorFromWire(end.error()));
+        if (end.number() == agent.endsSeen + 1) {
+            agent.endsSeen = end.number();
+        }
+    }
+    if (report.reconcile()) {
+        reconcile(agent, report);
+    }
+    if (agent.cleared) {
+        supersede(agent);
+    }
+    m_dispatchDue = true;
+}
+
+void dispatch_entry::updateView(agent_view &agent, const wire::DispatchReport &report)
+{
+    if (report.ready() != agent.ready) {
+        m_member.log("agent_ready", {{"agent", toText(agent.incarnation)},
+                                     {"target", report.target()},
+                                     {"ready", report.ready() ? "true" : "false"}});
+    }
+    agent.ready = report.ready() && (report.reconcile() || !agent.service.empty());
+    agent.cleared = report.cleared();
+    agent.committed = fromWire(report.committed());
+    agent.ordersHandled = std::max(agent.ordersHandled, report.orders_handled());
+    if (report.has_capacity()) {
+        agent.service = report.service();
+        agent.target = report.target();
+        agent.capacity = fromWire(report.capacity());
+        agent.labels.assign(report.labels().begin(), report.labels().end());
+    }
+}
+
+void dispatch_entry::reconcile(agent_view &agent, const wire::DispatchReport &report)
+{
+    std::set<run_ref> held;
+    for (const auto &ref : report.held()) {
+        held.insert(fromWire(ref));
+    }
+    std::vector<run_ref> lost;
+    for (const auto &[ref, run] : agent.outstanding) {
+        if (run.orderNumber <= report.orders_handled() && !held.contains(ref)) {
+            lost.push_back(ref);
+        }
+    }
+    for (const auto &ref : lost) {
+        agent.outstanding.erase(ref);
+        runLost(ref, agent.incarnation, "order_not_received");
+    }
+}
+
+/// A cleared agent proves that the runs of its predecessors at the same endpoint have ended.
+void dispatch_entry::supersede(const agent_view &successor)
+{
+    for (auto &[incarnation, agent] : m_pool.agents()) {
+        const bool older = agent.endpoint == successor.endpoint && &agent != &successor;
+        if (!older || agent.outstanding.empty()) {
+            continue;
+        }
+        const auto lost = std::exchange(agent.outstanding, {});
+        for (const auto &[ref, run] : lost) {
+            runLost(ref, incarnation, "agent_restarted");
+        }
+    }
+}
+
+void dispatch_entry::loseSilentAgents()
+{
+    std::vector<incarnation_id> gone;
+    for (auto &[incarnation, agent] : m_pool.agents()) {
+        const auto *const peer = m_member.links().find(incarnation);
+        const auto silence = peer == nullptr ? deadAgentLimit : m_member.now() - peer->lastArrival;
+        if (silence >= m_options.limits.runLossLimit && !agent.outstanding.empty()) {
+            const auto lost = std::exchange(agent.outstanding, {});
+            for (const auto &[ref, run] : lost) {
+                runLost(ref, incarnation, "agent_silent");
+            }
+        }
+        if (peer == nullptr || silence >= deadAgentLimit) {
+            gone.push_back(incarnation);
+        }
+    }
+    for (const auto incarnation : gone) {
+        m_member.log("agent_lost", {{"agent", toText(incarnation)}});
+        m_pool.agents().erase(incarnation);
+        m_drafts.erase(incarnation);
+    }
+}
+
+// Ends of runs
+
+void dispatch_entry::runEnded(agent_view &agent, const run_ref &ref, wire::RunOutcome outcome,
+                              error_kind error)
+{
+    if (agent.outstanding.erase(ref) == 0) {
+        return; // told before
+    }
+    if (outcome == wire::RUN_OUTCOME_LOST) {
+        runLost(ref, agent.incarnation, "run_lost");
+        return;
+    }
+    if (outcome == wire::RUN_OUTCOME_REFUSED) {
+        ++m_counters.runsRefused;
+        agent.fullUntil =
+                m_member.now() + (error == error_kind::no_room ? fullPause : refusedPause);
+        if (error == error_kind::order_void || error == error_kind::order_duplicate) {
+            agent.fullUntil = {};
+        }
+    }
+    const auto found = m_jobs.find(ref.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    --job.outstanding;
+    switch (outcome) {
+    case wire::RUN_OUTCOME_DONE:
+        taskDone(job, ref);
+        break;
+    case wire::RUN_OUTCOME_FAILED:
+        taskFailed(job, ref, agent.incarnation);
+        break;
+    default:
+        taskWaits(job, ref.task, agent.incarnation);
+        break;
+    }
+    removeIfOver(ref.task.job);
+}
+
+void dispatch_entry::runLost(const run_ref &ref, incarnation_id agent, std::string_view why)
+{
+    ++m_counters.runsLost;
+    m_member.log("run_lost", {{"run", toText(ref)},
+                              {"agent", toText(agent)},
+                              {"reason", std::string{why}}});
+    const auto found = m_jobs.find(ref.task.job);
+    if (found != m_jobs.end()) {
+        --found->second.outstanding;
+        taskWaits(found->second, ref.task, agent);
+        removeIfOver(ref.task.job);
+    }
+}
+
+void dispatch_entry::taskDone(job_record &job, const run_ref &ref)
+{
+    auto &step = job.steps.at(ref.task.step);
+    auto &task = step.tasks.at(ref.task.index);
+    if (task.state == batch_task_state::done) {
+        return;
+    }
+    task.state = batch_task_state::done;
+    ++step.done;
+    const bool complete = std::ranges::all_of(
+            job.steps, [](const auto &each) { return each.done == each.tasks.size(); });
+    if (complete && !job.endState) {
+        endJob(job, batch_job_state::succeeded, error_kind::none);
+    } else if (step.done == step.tasks.size()) {
+        enqueue(job); // later steps may start
+    }
+}
+
+void dispatch_entry::taskFailed(job_record &job, const run_ref &ref, incarnation_id agent)
+{
+    auto &task = job.steps.at(ref.task.step).tasks.at(ref.task.index);
+    ++task.failures;
+    m_member.log("task_failed", {{"run", toText(ref)},
+                                 {"agent", toText(agent)},
+                                 {"failures", std::to_string(task.failures)},
+                                 {"most", std::to_string(job.route.maxAttempts)}});
+    if (task.failures >= job.route.maxAttempts && !job.endState) {
+        endJob(job, batch_job_state::failed, error_kind::none);
+        return;
+    }
+    taskWaits(job, ref.task, agent);
+}
+
+void dispatch_entry::taskWaits(job_record &job, const batch_task &task, incarnation_id avoid)
+{
+    auto &step = job.steps.at(task.step);
+    auto &record = step.tasks.at(task.index);
+    if (record.state != batch_task_state::ordered) {
+        return;
+    }
+    record.state = batch_task_state::waiting;
+    record.avoid = avoid;
+    step.waiting.push_back(task.index);
+    if (!job.ending) {
+        enqueue(job);
+    }
+}
+
+// Jobs
+
+error_kind dispatch_entry::refusalOf(const dispatch_route &route, const batch_submission &job) const
+{
+    if (!job.bestEffort || job.unsupported) {
+        return error_kind::unsupported_job;
+    }
+    if (m_jobs.size() >= m_options.limits.maxJobs) {
+        return error_kind::too_many_waiters;
+    }
+    return m_pool.usableAgents(route.service) == 0 ? error_kind::no_target : error_kind::none;
+}
+
+void dispatch_entry::submit(caller_request request, const dispatch_route &route,
+                            batch_submission job)
+{
+    ++m_counters.submitted;
+    const auto id = job.id;
+    if (const auto ended = m_ended.find(id); ended != m_ended.end()) {
+        m_member.log("job_repeated", {{"job", toText(id)}, {"state", "ended"}});
+        m_member.push(job_reply{request, ended->second, error_kind::none, {}});
+        return;
+    }
+    if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
+        m_member.log("job_repeated", {{"job", toText(id)},
+                                      {"state", known->second.ending ? "ending" : "open"}});
+        resumeEnding(known->second, request);
+        return;
+    }
+    const auto refusal = refusalOf(route, job);
+    if (refusal != error_kind::none) {
+        refuse(request, id, refusal);
+        return;
+    }
+    job_record record;
+    record.route = route;
+    record.received = m_member.now();
+    record.expires = record.received +
+                     (job.patience > duration{} ? job.patience : m_options.limits.defaultPatience);
+    for (const auto &step : job.steps) {
+        batch_step_record added;
+        added.tasks.resize(step.count);
+        for (auto index = step.count; index > 0; --index) {
+            added.waiting.push_back(index - 1);
+        }
+        record.steps.push_back(std::move(added));
+    }
+    m_member.log("job_accepted", {{"job", toText(id)},
+                                  {"route", route.name},
+                                  {"steps", std::to_string(job.steps.size())},
+                                  {"tasks", std::to_string(job.steps.front().count)},
+                                  {"config", std::to_string(m_member.config().version)},
+                                  {"patience_ms", std::to_string(toMilliseconds(job.patience))}});
+    record.job = std::move(job);
+    record.callers.push_back(request);
+    m_callers.emplace(request, id);
+    m_expiries.emplace(record.expires, id);
+    enqueue(m_jobs.emplace(id, std::move(record)).first->second);
+}
+
+/// A repeated request joins an open job. A job that is ending because its caller left continues:
+/// tasks whose runs are being stopped start again after their ends.
+void dispatch_entry::resumeEnding(job_record &job, caller_request request)
+{
+    if (job.endState && *job.endState != batch_job_state::cancelled) {
+        m_member.push(job_reply{request, *job.endState, error_kind::none, {}});
+        return;
+    }
+    job.callers.push_back(request);
+    m_callers.emplace(request, job.job.id);
+    if (job.ending) {
+        job.ending = false;
+        job.endState.reset();
+        m_expiries.erase({job.expires, job.job.id});
+        job.expires = m_member.now() + (job.job.patience > duration{}
+                                                ? job.job.patience
+                                                : m_options.limits.defaultPatience);
+        m_expiries.emplace(job.expires, job.job.id);
+        enqueue(job);
+    }
+}
+
+void dispatch_entry::refuse(caller_request request, batch_job_id id, error_kind why)
+{
+    ++m_counters.refused;
+    m_member.log("job_refused", {{"job", toText(id)},
+                                 {"reason", std::string{answerFor(why).name}},
+                                 {"agents", std::to_string(m_pool.agents().size())},
+                                 {"open_jobs", std::to_string(m_jobs.size())}});
+    m_member.push(job_reply{request, batch_job_state::failed, why, shortRetry});
+}
+
+void dispatch_entry::callerGone(caller_request request)
+{
+    const auto found = m_callers.find(request);
+    if (found == m_callers.end()) {
+        return;
+    }
+    const auto id = found->second;
+    m_callers.erase(found);
+    auto &job = m_jobs.at(id);
+    std::erase(job.callers, request);
+    if (job.callers.empty() && !job.endState) {
+        ++m_counters.abandoned;
+        m_member.log("caller_left",
+                     {{"job", toText(id)},
+                      {"after_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+        endJob(job, batch_job_state::cancelled, error_kind::cancelled);
+        removeIfOver(id);
+    }
+}
+
+bool dispatch_entry::cancel(batch_job_id id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return m_ended.contains(id);
+    }
+    if (!found->second.endState) {
+        endJob(found->second, batch_job_state::cancelled, error_kind::cancelled);
+        removeIfOver(id);
+    }
+    return true;
+}
+
+void dispatch_entry::endJob(job_record &job, batch_job_state state, error_kind error)
+{
+    const auto id = job.job.id;
+    job.endState = state;
+    job.ending = true;
+    m_queue.erase(keyOf(job));
+    m_expiries.erase({job.expires, id});
+    if (state == batch_job_state::succeeded) {
+        ++m_counters.succeeded;
+    } else if (state == batch_job_state::failed) {
+        ++m_counters.failed;
+    }
+    m_member.log("job_ended",
+                 {{"job", toText(id)},
+                  {"state", state == batch_job_state::succeeded ? "succeeded"
+                            : state == batch_job_state::failed  ? "failed"
+                                                                : "cancelled"},
+                  {"reason", std::string{answerFor(error).name}},
+                  {"runs_left", std::to_string(job.outstanding)},
+                  {"after_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+    for (const auto request : job.callers) {
+        m_callers.erase(request);
+        m_member.push(job_reply{request, state, error, {}});
+    }
+    job.callers.clear();
+    stopRuns(job);
+    if (state != batch_job_state::cancelled) {
+        m_ended.emplace(id, state);
+        m_endedOrder.push_back({id, m_member.now()});
+    }
+}
+
+void dispatch_entry::stopRuns(const job_record &job)
+{
+    if (job.outstanding == 0) {
+        return;
+    }
+    const run_ref first{{job.job.id, 0, 0}, 0};
+    for (auto &[incarnation, agent] : m_pool.agents()) {
+        for (auto run = agent.outstanding.lower_bound(first);
+             run != agent.outstanding.end() && run->first.task.job == job.job.id; ++run) {
+            if (!run->second.stopping) {
+                run->second.stopping = true;
+                run->second.stopSent = m_member.now();
+                toWire(run->first, *m_drafts[incarnation].add_stops());
+            }
+        }
+    }
+}
+
+void dispatch_entry::expireJobs()
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= m_member.now()) {
+        const auto id = m_expiries.begin()->second;
+        ++m_counters.expired;
+        endJob(m_jobs.at(id), batch_job_state::cancelled, error_kind::deadline_exceeded);
+        removeIfOver(id);
+    }
+}
+
+void dispatch_entry::removeIfOver(batch_job_id id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && found->second.ending && found->second.outstanding == 0) {
+        m_jobs.erase(found);
+    }
+}
+
+void dispatch_entry::forgetEnded()
+{
+    while (!m_endedOrder.empty() &&
+           (m_endedOrder.size() > maxEnded ||
+            m_member.now() - m_endedOrder.front().ended >= m_options.limits.endedKept)) {
+        m_ended.erase(m_endedOrder.front().id);
+        m_endedOrder.pop_front();
+    }
+}
+
+// Placement
+
+dispatch_entry::queue_key dispatch_entry::keyOf(const job_record &job)
+{
+    return {job.route.priority, job.received, job.job.id};
+}
+
+bool dispatch_entry::stepReady(const job_record &job, std::size_t step)
+{
+    return std::ranges::all_of(job.job.steps[step].after, [&](std::uint32_t before) {
+        return job.steps[before].done == job.steps[before].tasks.size();
+    });
+}
+
+void dispatch_entry::enqueue(const job_record &job)
+{
+    m_queue.insert(keyOf(job));
+    m_dispatchDue = true;
+}
+
+void dispatch_entry::dispatch()
+{
+    m_dispatchDue = false;
+    std::size_t passedOver = 0;
+    auto next = m_queue.begin();
+    while (next != m_queue.end() && passedOver < maxPassedOver) {
+        if (dispatchJob(m_jobs.at(std::get<batch_job_id>(*next)))) {
+            next = m_queue.erase(next);
+        } else {
+            ++passedOver;
+            ++next;
+        }
+    }
+}
+
+/// @return Whether nothing of the job waits that may start now.
+bool dispatch_entry::dispatchJob(job_record &job)
+{
+    for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
+        auto &step = job.steps[number];
+        if (step.waiting.empty() || !stepReady(job, number)) {
+            continue;
+        }
+        while (!step.waiting.empty()) {
+            const auto index = step.waiting.back();
+            placement_request request;
+            request.job = job.job.id;
+            request.step = number;
+            request.work = &job.job.steps[number];
+            request.service = job.route.service;
+            request.avoid = step.tasks[index].avoid;
+            auto *const agent = m_pool.choose(request);
+            if (agent == nullptr) {
+                return false;
+            }
+            step.waiting.pop_back();
+            order(*agent, job, number, index);
+        }
+    }
+    return true;
+}
+
+void dispatch_entry::order(agent_view &agent, job_record &job, std::uint32_t step,
+                           std::uint32_t index)
+{
+    auto &draft = m_drafts[agent.incarnation];
+    if (draft.orders_size() == 0) {
+        draft.set_number(++agent.ordersSent);
+    }
+    const auto id = static_cast<std::uint64_t>(job.job.id);
+    auto *group = draft.orders_size() == 0
+                          ? nullptr
+                          : draft.mutable_orders(draft.orders_size() - 1);
+    if (group == nullptr || group->job() != id || group->step() != step) {
+        group = draft.add_orders();
+        group->set_job(id);
+        group->set_step(step);
+        group->set_spec(job.job.spec);
+        toWire(job.job.steps[step].demand, *group->mutable_demand());
+        group->set_priority(job.route.priority);
+        group->set_remaining_ms(toMilliseconds(job.expires - m_member.now()));
+    }
+    auto &task = job.steps[step].tasks[index];
+    task.state = batch_task_state::ordered;
+    ++task.run;
+    auto &added = *group->add_tasks();
+    added.set_index(index);
+    added.set_run(task.run);
+    const run_ref ref{{job.job.id, step, index}, task.run};
+    agent.outstanding.emplace(ref, outstanding_run{job.job.steps[step].demand, agent.ordersSent,
+                                                   m_member.now(), false, {}});
+    ++job.outstanding;
+    job.started = true;
+    ++m_counters.runsOrdered;
+    m_member.log("run_ordered",
+                 {{"run", toText(ref)},
+                  {"agent", toText(agent.incarnation)},
+                  {"target", agent.target},
+                  {"committed_cpu", std::to_string(agent.committed.cpuMillis)},
+                  {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+}
+
+// Periodic systems
+
+void dispatch_entry::tick()
+{
+    m_member.tick();
+    expireJobs();
+    loseSilentAgents();
+    forgetEnded();
+    syncEntries();
+    m_dispatchDue = m_dispatchDue || !m_queue.empty();
+    if (m_stopSince && !m_done) {
+        const auto drained = m_member.now() - *m_stopSince;
+        const bool quiet = m_jobs.empty() && drained >= m_options.limits.drainLinger;
+        if (quiet || drained >= m_options.limits.drainLimit) {
+            m_done = true;
+            m_member.push(shutdown_complete{});
+        }
+    }
+}
+
+void dispatch_entry::syncEntries()
+{
+    for (const auto *const peer : m_member.links().peers(wire::ROLE_ENTRY)) {
+        auto &last = m_lastSync[peer->incarnation];
+        if (m_member.now() - last < m_options.limits.idlePulse) {
+            continue;
+        }
+        last = m_member.now();
+        wire::Envelope envelope;
+        m_member.fillMembers(*envelope.mutable_entry_sync());
+        envelope.mutable_entry_sync()->set_config_version(m_member.config().revision);
+        envelope.mutable_entry_sync()->set_draining(draining());
+        m_member.send(peer->incarnation, std::move(envelope));
+    }
+    std::erase_if(m_lastSync, [&](const auto &entry) {
+        return m_member.links().find(entry.first) == nullptr;
+    });
+}
+
+std::vector<dispatch_action> dispatch_entry::takeActions()
+{
+    if (m_dispatchDue) {
+        dispatch();
+    }
+    sendOrders();
+    return m_member.takeActions();
+}
+
+void dispatch_entry::sendOrders()
+{
+    const auto now = m_member.now();
+    for (auto &[incarnation, agent] : m_pool.agents()) {
+        const auto interval = agent.outstanding.empty() ? m_options.limits.idlePulse
+                                                        : m_options.limits.busyPulse;
+        const auto draft = m_drafts.find(incarnation);
+        const bool due = now - agent.lastPulse >= interval;
+        if (!due && draft == m_drafts.end()) {
+            continue;
+        }
+        wire::Envelope envelope;
+        auto &message = *envelope.mutable_dispatch_orders();
+        if (draft != m_drafts.end()) {
+            message = std::move(draft->second);
+            m_drafts.erase(draft);
+        }
+        message.set_ends_seen(agent.endsSeen);
+        message.set_config_version(m_member.config().revision);
+        if (due) {
+            pulse(agent, message);
+        }
+        m_member.send(incarnation, std::move(envelope));
+    }
+}
+
+void dispatch_entry::pulse(agent_view &agent, wire::DispatchOrders &message)
+{
+    agent.lastPulse = m_member.now();
+    message.set_number(agent.ordersSent);
+    message.set_reconcile(true);
+    for (auto &[ref, run] : agent.outstanding) {
+        if (!run.stopping) {
+            toWire(ref, *message.add_wanted());
+        } else if (m_member.now() - run.stopSent >= m_options.limits.stopRepeat) {
+            run.stopSent = m_member.now();
+            toWire(ref, *message.add_stops());
+        }
+    }
+    message.set_draining(draining());
+    if (m_member.now() - agent.lastMembers >= membersInterval) {
+        agent.lastMembers = m_member.now();
+        m_member.fillMembers(message);
+    }
+}
+
+// State
+
+void dispatch_entry::configRead(const desired_state &state)
+{
+    m_member.adopt(state, "store");
+}
+
+void dispatch_entry::entriesFound(const std::vector<std::string> &endpoints)
+{
+    m_member.addContacts(endpoints);
+}
+
+void dispatch_entry::stop()
+{
+    if (!m_stopSince) {
+        m_stopSince = m_member.now();
+        m_member.log("draining", {{"open_jobs", std::to_string(m_jobs.size())}});
+    }
+}
+
+bool dispatch_entry::ready() const
+{
+    return m_member.config().version != 0 && !draining() &&
+           std::ranges::any_of(m_pool.agents(),
+                               [&](const auto &agent) { return m_pool.usable(agent.second); });
+}
+
+std::optional<batch_job_state> dispatch_entry::stateOf(batch_job_id id) const
+{
+    if (const auto ended = m_ended.find(id); ended != m_ended.end()) {
+        return ended->second;
+    }
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return std::nullopt;
+    }
+    const auto &job = found->second;
+    return job.endState.value_or(job.started ? batch_job_state::running : batch_job_state::pending);
+}
+
+std::size_t dispatch_entry::waitingJobs(std::string_view route) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_jobs, [&](const auto &job) {
+        return job.second.route.name == route && !job.second.started && !job.second.ending;
+    }));
+}
+
+boost::json::value dispatch_entry::dump() const
+{
+    boost::json::object root;
+    root["role"] = "entry";
+    root["incarnation"] = toText(m_member.self().incarnation);
+    root["zone"] = m_member.self().zone;
+    root["config_version"] = m_member.config().version;
+    root["config_revision"] = m_member.config().revision;
+    root["ready"] = ready();
+    root["draining"] = draining();
+    root["open_jobs"] = m_jobs.size();
+    root["waiting_jobs"] = m_queue.size();
+    boost::json::array agents;
+    for (const auto &[incarnation, agent] : m_pool.agents()) {
+        agents.push_back({{"agent", toText(incarnation)},
+                          {"endpoint", agent.endpoint},
+                          {"zone", agent.zone},
+                          {"target", agent.target},
+                          {"usable", m_pool.usable(agent)},
+                          {"cpu_millis", agent.capacity.cpuMillis},
+                          {"committed_cpu_millis", agent.committed.cpuMillis},
+                          {"outstanding", agent.outstanding.size()}});
+    }
+    root["agents"] = std::move(agents);
+    return root;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/dispatch/fleet_member.cpp
@@ -0,0 +1,180 @@
+#include "bamboohead/dispatch/fleet_member.hpp"
+
+#include <algorithm>
+
+namespace bamboohead {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration helloInterval = 500ms;  ///< to a contact that does not answer
+constexpr duration pullInterval = 300ms;   ///< between requests for a peer's desired state
+constexpr duration contactLimit = 1s;      ///< a peer heard within this time needs no hello
+constexpr duration forgetLimit = 10s;      ///< a peer without a message for this long is forgotten
+constexpr std::size_t maxContacts = 64;
+
+} // namespace
+
+fleet_member::fleet_member(process_identity self, const clock &clock)
+    : m_clock{clock}
+    , m_links{std::move(self), clock}
+{}
+
+reception fleet_member::receive(const wire::Envelope &envelope)
+{
+    const auto verdict = m_links.receive(envelope);
+    if (!verdict.accepted) {
+        return verdict;
+    }
+    const incarnation_id sender{envelope.sender()};
+    switch (envelope.payload_case()) {
+    case wire::Envelope::kHello: {
+        wire::Envelope answer;
+        fillMembers(*answer.mutable_member_list());
+        send(sender, std::move(answer));
+        break;
+    }
+    case wire::Envelope::kMemberList:
+        learnMembers(envelope.member_list());
+        break;
+    case wire::Envelope::kEntrySync:
+        learnMembers(envelope.entry_sync());
+        peerHolds(sender, envelope.entry_sync().config_version());
+        break;
+    case wire::Envelope::kDispatchOrders:
+        learnMembers(envelope.dispatch_orders());
+        break;
+    case wire::Envelope::kConfigPull:
+        if (m_config.revision > envelope.config_pull().held_version()) {
+            wire::Envelope answer;
+            answer.mutable_config_push()->set_version(m_config.revision);
+            answer.mutable_config_push()->set_manifest(encode(m_config));
+            send(sender, std::move(answer));
+        }
+        break;
+    case wire::Envelope::kConfigPush:
+        if (const auto state = decodeDesiredState(envelope.config_push().manifest())) {
+            adopt(*state, toText(sender));
+        } else {
+            log("config_malformed", {{"peer", toText(sender)}});
+        }
+        break;
+    default:
+        break;
+    }
+    return verdict;
+}
+
+void fleet_member::tick()
+{
+    const auto now = m_clock.now();
+    for (auto &[endpoint, greeted] : m_contacts) {
+        if (now - greeted >= helloInterval && !linked(endpoint)) {
+            greeted = now;
+            greet(endpoint);
+        }
+    }
+    forgetSilent();
+}
+
+void fleet_member::greet(const std::string &endpoint)
+{
+    wire::Envelope hello;
+    hello.mutable_hello();
+    m_links.seal(hello, incarnation_id::none);
+    m_actions.emplace_back(send_message{endpoint, std::move(hello)});
+}
+
+bool fleet_member::linked(const std::string &endpoint) const
+{
+    const auto fresh = [&](const link *peer) {
+        return peer->endpoint == endpoint && m_links.alive(peer->incarnation, contactLimit);
+    };
+    return endpoint == self().endpoint || std::ranges::any_of(m_links.peers(wire::ROLE_ENTRY), fresh) ||
+           std::ranges::any_of(m_links.peers(wire::ROLE_AGENT), fresh);
+}
+
+void fleet_member::forgetSilent()
+{
+    std::vector<incarnation_id> gone;
+    for (const auto role : {wire::ROLE_ENTRY, wire::ROLE_AGENT}) {
+        for (const auto *const peer : m_links.peers(role)) {
+            const auto heard = std::max(peer->added, peer->lastArrival);
+            if (m_clock.now() - heard >= forgetLimit) {
+                gone.push_back(peer->incarnation);
+            }
+        }
+    }
+    for (const auto peer : gone) {
+        log("peer_forgotten", {{"peer", toText(peer)}, {"endpoint", m_links.find(peer)->endpoint}});
+        m_links.remove(peer);
+        m_pulls.erase(peer);
+    }
+}
+
+void fleet_member::addContacts(const std::vector<std::string> &endpoints)
+{
+    for (const auto &endpoint : endpoints) {
+        if (m_contacts.size() < maxContacts && endpoint != self().endpoint) {
+            m_contacts.try_emplace(endpoint);
+        }
+    }
+}
+
+bool fleet_member::adopt(const desired_state &state, std::string_view source)
+{
+    if (state.revision <= m_config.revision) {
+        return false;
+    }
+    if (state.version != m_config.version || state.zonesOut != m_config.zonesOut) {
+        std::string zones;
+        for (const auto &zone : state.zonesOut) {
+            zones += (zones.empty() ? "" : ",") + zone;
+        }
+        log("config_in_force", {{"version", std::to_string(state.version)},
+                                {"revision", std::to_string(state.revision)},
+                                {"routes", std::to_string(state.routes.size())},
+                                {"zones_out", zones},
+                                {"source", std::string{source}}});
+    }
+    m_config = state;
+    return true;
+}
+
+void fleet_member::peerHolds(incarnation_id peer, std::uint64_t revision)
+{
+    if (revision <= m_config.revision) {
+        return;
+    }
+    auto &asked = m_pulls[peer];
+    if (m_clock.now() - asked >= pullInterval) {
+        asked = m_clock.now();
+        wire::Envelope pull;
+        pull.mutable_config_pull()->set_held_version(m_config.revision);
+        send(peer, std::move(pull));
+    }
+}
+
+void fleet_member::send(incarnation_id receiver, wire::Envelope envelope)
+{
+    if (const auto *const peer = m_links.find(receiver)) {
+        m_links.seal(envelope, receiver);
+        m_actions.emplace_back(send_message{peer->endpoint, std::move(envelope)});
+    }
+}
+
+void fleet_member::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_actions.emplace_back(log_event{std::move(name), std::move(fields)});
+}
+
+void fleet_member::addMember(wire::Member &out, incarnation_id incarnation,
+                             const std::string &endpoint, const std::string &zone)
+{
+    out.set_incarnation(static_cast<std::uint64_t>(incarnation));
+    out.set_endpoint(endpoint);
+    out.set_zone(zone);
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/dispatch/store_follower.cpp
@@ -0,0 +1,275 @@
+#include "bamboohead/dispatch/store_follower.hpp"
+
+#include <algorithm>
+
+namespace bamboohead {
+
+namespace {
+
+/// Doubles the pause with each failure in a row.
+duration pauseAfter(std::uint32_t failures, const store_follower_limits &limits)
+{
+    constexpr std::uint32_t mostDoublings = 10;
+    const auto doublings = std::min(failures - 1, mostDoublings);
+    return std::min(limits.firstPause * (1U << doublings), limits.longestPause);
+}
+
+} // namespace
+
+// area_follower
+
+area_follower::area_follower(store_area area, const clock &clock, store_follower_limits limits,
+                             bool watches)
+    : m_area{area}
+    , m_clock{clock}
+    , m_limits{limits}
+    , m_watches{watches}
+{}
+
+void area_follower::pollSoon(bool soon)
+{
+    if (!m_watches && soon && !m_soon) {
+        m_nextCall = m_clock.now();
+    }
+    m_soon = soon;
+}
+
+std::optional<store_request> area_follower::nextCall(call_id id)
+{
+    if (m_pending || m_clock.now() < m_nextCall) {
+        return std::nullopt;
+    }
+    m_pending = id;
+    if (m_listing) {
+        return list_area{{id, m_limits.callTimeout}, m_area, m_after, !m_watches};
+    }
+    const store_header header{id, m_limits.watchWait + m_limits.callTimeout};
+    return watch_area{header, m_area, m_revision, m_limits.watchWait};
+}
+
+bool area_follower::handle(const store_reply &reply)
+{
+    m_pending.reset();
+    if (reply.status == store_status::ok) {
+        m_failures = 0;
+        return m_listing ? listed(reply) : watched(reply);
+    }
+    if (reply.status == store_status::gone && !m_listing) {
+        m_listing = true;
+        return false;
+    }
+    failed();
+    return false;
+}
+
+bool area_follower::listed(const store_reply &reply)
+{
+    for (const auto &item : reply.items) {
+        m_page.insert_or_assign(item.key, item.value);
+        m_after = item.key;
+    }
+    if (reply.more && !reply.items.empty()) {
+        return false;
+    }
+    const bool changed = m_page != m_items || m_revision == 0;
+    m_items = std::exchange(m_page, {});
+    m_after.clear();
+    m_revision = std::max(m_revision, reply.revision);
+    m_listing = !m_watches;
+    if (!m_watches) {
+        m_nextCall =
+                m_clock.now() + (m_soon ? m_limits.disconnectedPoll : m_limits.connectedPoll);
+    }
+    return changed;
+}
+
+bool area_follower::watched(const store_reply &reply)
+{
+    for (const auto &item : reply.items) {
+        // Only the revision of an event proves that nothing before it is missing: a watch may
+        // return without events that it has not heard of.
+        m_revision = std::max(m_revision, item.revision);
+        if (item.removed) {
+            m_items.erase(item.key);
+        } else {
+            m_items.insert_or_assign(item.key, item.value);
+        }
+    }
+    return !reply.items.empty();
+}
+
+void area_follower::failed()
+{
+    ++m_failures;
+    m_page.clear();
+    m_after.clear();
+    m_nextCall = m_clock.now() + pauseAfter(m_failures, m_limits);
+}
+
+// member_registration
+
+member_registration::member_registration(std::string name, std::string value, const clock &clock,
+                                         store_follower_limits limits)
+    : m_clock{clock}
+    , m_limits{limits}
+    , m_name{std::move(name)}
+    , m_value{std::move(value)}
+{}
+
+std::optional<store_request> member_registration::nextCall(call_id id)
+{
+    const bool ends = m_withdrawn && m_step != step::over;
+    if (m_pending || m_step == step::over || (m_clock.now() < m_nextCall && !ends)) {
+        return std::nullopt;
+    }
+    if (ends) {
+        m_step = step::end;
+    }
+    m_pending = id;
+    const store_header header{id, m_limits.callTimeout};
+    switch (m_step) {
+    case step::grant:
+        return grant_lease{header, m_limits.leaseLife};
+    case step::put:
+        return put_member{header, m_name, m_value, m_lease};
+    case step::renew:
+        return renew_lease{header, m_lease};
+    default:
+        m_step = step::over;
+        return end_lease{header, m_lease};
+    }
+}
+
+void member_registration::handle(const store_reply &reply)
+{
+    m_pending.reset();
+    if (m_step == step::over) {
+        return;
+    }
+    if (reply.status == store_status::gone) {
+        m_step = step::grant;
+        m_nextCall = m_clock.now();
+        return;
+    }
+    // The key carries the incarnation, so a conflict means that an earlier write took effect.
+    const bool done = reply.status == store_status::ok || reply.status == store_status::conflict;
+    if (!done) {
+        m_nextCall = m_clock.now() + pauseAfter(++m_failures, m_limits);
+        return;
+    }
+    m_failures = 0;
+    if (m_step == step::grant) {
+        m_lease = reply.lease;
+        m_step = step::put;
+        m_nextCall = m_clock.now();
+    } else {
+        m_step = step::renew;
+        m_nextCall = m_clock.now() + m_limits.leaseRenewal;
+    }
+}
+
+void member_registration::membersSeen(bool present)
+{
+    if (present) {
+        m_seen = true;
+    } else if (m_seen && m_step == step::renew && !m_pending) {
+        m_seen = false;
+        m_step = step::grant;
+        m_nextCall = m_clock.now();
+    }
+}
+
+// store_follower
+
+store_follower::store_follower(store_follower_options options, const clock &clock)
+    : m_options{std::move(options)}
+    , m_configuration{store_area::configuration, clock, m_options.limits, true}
+    , m_members{store_area::members, clock, m_options.limits, m_options.watchMembers}
+{
+    if (!m_options.memberName.empty()) {
+        m_registration.emplace(m_options.memberName, m_options.memberValue, clock,
+                               m_options.limits);
+    }
+}
+
+template <typename Part>
+void store_follower::poll(Part &part)
+{
+    if (auto call = part.nextCall(call_id{m_lastCall + 1})) {
+        ++m_lastCall;
+        m_calls.push_back(std::move(*call));
+    }
+}
+
+void store_follower::tick()
+{
+    if (m_options.followConfiguration) {
+        poll(m_configuration);
+    }
+    poll(m_members);
+    if (m_registration) {
+        poll(*m_registration);
+    }
+}
+
+void store_follower::handle(const store_reply &reply)
+{
+    if (m_configuration.awaits(reply.id)) {
+        m_configurationChanged = m_configuration.handle(reply) || m_configurationChanged;
+        noteContact(m_configuration.failing());
+    } else if (m_members.awaits(reply.id)) {
+        m_membersChanged = m_members.handle(reply) || m_membersChanged;
+        noteContact(m_members.failing());
+        const bool listed = reply.status == store_status::ok;
+        if (listed && m_registration) {
+            const bool present = std::ranges::any_of(m_members.items(), [&](const auto &item) {
+                return item.second == m_options.memberValue;
+            });
+            m_registration->membersSeen(present);
+        }
+    } else if (m_registration && m_registration->awaits(reply.id)) {
+        m_registration->handle(reply);
+    }
+    tick();
+}
+
+void store_follower::noteContact(bool failing)
+{
+    if (failing == m_lost) {
+        return;
+    }
+    m_lost = failing;
+    m_events.push_back({failing ? "store_lost" : "store_regained",
+                        {{"revision", std::to_string(m_configuration.revision())}}});
+}
+
+void store_follower::withdraw()
+{
+    if (m_registration) {
+        m_registration->withdraw();
+        poll(*m_registration);
+    }
+}
+
+std::optional<std::pair<std::map<std::string, std::string>, std::uint64_t>>
+store_follower::takeConfiguration()
+{
+    if (!std::exchange(m_configurationChanged, false)) {
+        return std::nullopt;
+    }
+    return std::pair{m_configuration.items(), m_configuration.revision()};
+}
+
+std::optional<std::vector<std::string>> store_follower::takeMembers()
+{
+    if (!std::exchange(m_membersChanged, false)) {
+        return std::nullopt;
+    }
+    std::vector<std::string> endpoints;
+    for (const auto &[key, value] : m_members.items()) {
+        endpoints.push_back(value);
+    }
+    return endpoints;
+}
+
+} // namespace bamboohead
--- /dev/null
+++ b/src/dispatch/target_session.cpp
@@ -0,0 +1,452 @@
+#include "bamboohead/dispatch/target_session.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace bamboohead {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<std::string_view, 7> statusNames{"accepted",     "refused",   "unhealthy",
+                                                      "wrong_target", "malformed", "unreachable",
+                                                      "unanswered"};
+constexpr std::array<std::string_view, 6> refusalNames{"none", "fenced",  "old_run",
+                                                       "late", "no_room", "other"};
+constexpr std::array<std::string_view, 4> endNames{"done", "failed", "stopped", "lapsed"};
+
+/// First jump of the fence after a refusal; it doubles with each further one. A predecessor's fence
+/// is a time of day in milliseconds, so this passes clocks that differ by a second at once.
+constexpr std::uint64_t firstFenceJump = 1'000;
+constexpr duration retryPause = 50ms;  ///< between list calls to a target that does not answer
+constexpr duration stopRepeat = 100ms; ///< between stop calls for one run
+constexpr std::uint32_t trustedFailures = 2; ///< list calls that may fail before the lease rests
+constexpr std::int64_t perMille = 1'000;
+
+std::int64_t toMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+std::string_view toText(call_status status) noexcept
+{
+    return statusNames[static_cast<std::size_t>(status)];
+}
+
+std::string_view toText(call_refusal refusal) noexcept
+{
+    return refusalNames[static_cast<std::size_t>(refusal)];
+}
+
+std::string_view toText(run_end_kind kind) noexcept
+{
+    return endNames[static_cast<std::size_t>(kind)];
+}
+
+target_session::target_session(const clock &clock, std::uint64_t firstFence,
+                               target_session_limits limits)
+    : m_clock{clock}
+    , m_limits{limits}
+    , m_fence{firstFence}
+{}
+
+bool target_session::report(const target_report &report)
+{
+    if (m_target) {
+        const bool sameLife = report.life == m_target->life;
+        const bool overtaken = sameLife && report.sequence <= m_target->sequence;
+        if (overtaken || report.life.startedMs < m_target->life.startedMs) {
+            return false;
+        }
+        if (sameLife) {
+            m_left = false;
+            m_target = report;
+            return true;
+        }
+    }
+    beginLife(report);
+    return true;
+}
+
+void target_session::beginLife(const target_report &report)
+{
+    log("target_started", {{"target", report.life.id},
+                           {"started_ms", std::to_string(report.life.startedMs)},
+                           {"address", report.address},
+                           {"cpu_millis", std::to_string(report.capacity.cpuMillis)},
+                           {"runs_lost", std::to_string(m_runs.size())}});
+    m_target = report;
+    m_left = false;
+    m_cleared = false;
+    m_voidOnClear = !m_runs.empty();
+    ++m_fence;
+    m_endsSeen = 0;
+    m_clockSample.reset();
+    m_leaseEnd = 0;
+    m_pending.clear();
+    m_foreignStops.clear();
+    m_lastListing.reset();
+    m_nextList = m_clock.now();
+    m_listFailures = 0;
+    if (report.clockMs) {
+        noteClock(*report.clockMs);
+    }
+}
+
+void target_session::leave(const std::string &targetId)
+{
+    if (m_target && m_target->life.id == targetId) {
+        m_left = true;
+        log("target_left", {{"target", targetId}});
+    }
+}
+
+bool target_session::ready() const
+{
+    const auto now = m_clock.now();
+    return m_target && m_cleared && !m_left && m_target->phase == target_phase::serving &&
+           now >= m_unhealthyUntil && m_lastListing && now - *m_lastListing <= m_limits.silenceLimit;
+}
+
+call_header target_session::header(call_kind kind, const run_ref &ref, duration timeout, bool waits)
+{
+    const call_id id{++m_lastCall};
+    m_pending.emplace(id, pending_call{kind, ref, m_fence, m_clock.now(), waits});
+    return {id, m_target->address, m_target->life.id, timeout};
+}
+
+void target_session::start(const run_ref &ref, const std::string &spec, const resources &demand)
+{
+    const auto now = m_clock.now();
+    m_runs.emplace(ref, held_run{demand, run_state::starting, m_fence, now, now, false, {}});
+    m_committed += demand;
+    m_calls.emplace_back(start_run{header(call_kind::start, ref, m_limits.callTimeout), ref, spec,
+                                   newLeaseEnd(), m_fence});
+}
+
+void target_session::stop(const run_ref &ref)
+{
+    const auto found = m_runs.find(ref);
+    if (found != m_runs.end() && !found->second.stopping) {
+        found->second.stopping = true;
+        if (found->second.state == run_state::running) {
+            sendStop(ref, &found->second);
+        }
+    }
+}
+
+void target_session::sendStop(const run_ref &ref, held_run *run)
+{
+    if (run != nullptr) {
+        run->stopSent = m_clock.now();
+    }
+    m_calls.emplace_back(
+            stop_run{header(call_kind::stop, ref, m_limits.callTimeout), ref, m_fence});
+}
+
+bool target_session::holds(const batch_task &task) const
+{
+    const auto first = m_runs.lower_bound(run_ref{task, 0});
+    return first != m_runs.end() && first->first.task == task;
+}
+
+std::int64_t target_session::targetClock() const
+{
+    const auto elapsed = toMilliseconds(m_clock.now() - m_clockSampled);
+    return m_clockSample.value_or(0) + elapsed;
+}
+
+void target_session::noteClock(std::int64_t clockMs)
+{
+    m_clockSample = clockMs;
+    m_clockSampled = m_clock.now();
+}
+
+std::int64_t target_session::newLeaseEnd()
+{
+    const auto until = targetClock() + toMilliseconds(m_limits.lease);
+    m_leaseEnd = std::max(m_leaseEnd, until);
+    return until;
+}
+
+bool target_session::leaseSurelyOver() const
+{
+    const auto elapsed = toMilliseconds(m_clock.now() - m_clockSampled);
+    const auto slowest = elapsed * (perMille - m_limits.clockDriftPerMille) / perMille;
+    return m_clockSample.value_or(0) + slowest > m_leaseEnd + toMilliseconds(m_limits.lapseMargin);
+}
+
+void target_session::sendList(bool waits)
+{
+    const auto wait = waits ? m_limits.listWait : duration{};
+    const auto timeout = wait + m_limits.callTimeout;
+    auto call = list_runs{
+            header(call_kind::list, {}, timeout, waits), m_fence, m_endsSeen, std::nullopt, wait};
+    // A lease that is not extended ends by itself, which tells the fate of the runs of a target
+    // that no longer answers.
+    if (m_clockSample && m_cleared && m_listFailures < trustedFailures) {
+        call.untilMs = newLeaseEnd();
+    }
+    m_calls.emplace_back(std::move(call));
+}
+
+void target_session::raiseFence(std::uint64_t step)
+{
+    m_fence += step;
+    m_fenceDue = false;
+    sendList(false);
+}
+
+void target_session::tick()
+{
+    if (!m_target) {
+        return;
+    }
+    const auto now = m_clock.now();
+    const bool waiting = std::ranges::any_of(
+            m_pending, [](const auto &call) { return call.second.waits; });
+    if (!waiting && now >= m_nextList) {
+        // Nothing to wait for before the target is known to be free of others' runs.
+        sendList(m_cleared && m_listFailures == 0);
+        m_nextList = m_cleared && m_listFailures == 0 ? now : now + retryPause;
+    }
+    if (m_fenceDue) {
+        raiseFence(1);
+    }
+    for (auto &[ref, run] : m_runs) {
+        if (run.stopping && run.state == run_state::running && now - run.stopSent >= stopRepeat) {
+            sendStop(ref, &run);
+        }
+    }
+    loseLapsedRuns();
+}
+
+void target_session::loseLapsedRuns()
+{
+    const bool silent = !m_lastListing || m_clock.now() - *m_lastListing > m_limits.silenceLimit;
+    if (m_runs.empty() || !silent || !leaseSurelyOver()) {
+        return;
+    }
+    log("lease_lapsed", {{"target", m_target->life.id},
+                         {"runs_lost", std::to_string(m_runs.size())},
+                         {"lease_end_ms", std::to_string(m_leaseEnd)}});
+    while (!m_runs.empty()) {
+        end(run_ref{m_runs.begin()->first}, session_end::kind::lost);
+    }
+}
+
+void target_session::handle(const target_reply &reply)
+{
+    const auto found = m_pending.find(reply.id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const auto call = found->second;
+    m_pending.erase(found);
+    if (reply.clockMs) {
+        noteClock(*reply.clockMs);
+    }
+    if (call.kind == call_kind::start) {
+        startReplied(call, reply);
+    } else if (call.kind == call_kind::list) {
+        listReplied(call, reply);
+    }
+}
+
+void target_session::startReplied(const pending_call &call, const target_reply &reply)
+{
+    const auto found = m_runs.find(call.ref);
+    if (found == m_runs.end() || found->second.state != run_state::starting) {
+        return;
+    }
+    auto &run = found->second;
+    if (reply.status != call_status::accepted) {
+        log("start_not_accepted", {{"run", toText(call.ref)},
+                                   {"target", m_target->life.id},
+                                   {"status", std::string{toText(reply.status)}},
+                                   {"refusal", std::string{toText(reply.refusal)}},
+                                   {"fence", std::to_string(call.fence)}});
+    }
+    switch (reply.status) {
+    case call_status::accepted:
+        run.state = run_state::running;
+        run.confirmed = m_clock.now();
+        if (run.stopping) {
+            sendStop(call.ref, &run);
+        }
+        break;
+    case call_status::unanswered:
+        run.state = run_state::unresolved;
+        m_fenceDue = true;
+        break;
+    case call_status::unhealthy:
+        m_unhealthyUntil = m_clock.now() + m_limits.unhealthyPause;
+        end(call.ref, session_end::kind::not_started, start_refusal::unhealthy);
+        break;
+    case call_status::malformed:
+        end(call.ref, session_end::kind::not_started, start_refusal::malformed);
+        break;
+    case call_status::unreachable:
+    case call_status::wrong_target:
+        end(call.ref, session_end::kind::not_started, start_refusal::unhealthy);
+        break;
+    case call_status::refused:
+        if (reply.refusal == call_refusal::fenced && call.fence == m_fence) {
+            m_fenceStep = std::max(firstFenceJump, m_fenceStep * 2);
+            raiseFence(m_fenceStep);
+        }
+        const auto refusal = reply.refusal == call_refusal::old_run   ? start_refusal::old_run
+                             : reply.refusal == call_refusal::no_room ? start_refusal::no_room
+                                                                      : start_refusal::retry;
+        end(call.ref, session_end::kind::not_started, refusal);
+        break;
+    }
+}
+
+void target_session::listReplied(const pending_call &call, const target_reply &reply)
+{
+    if (reply.status == call_status::accepted && reply.listing) {
+        if (m_listFailures >= trustedFailures) {
+            log("target_answers_again", {{"target", m_target->life.id}});
+        }
+        m_listFailures = 0;
+        m_lastListing = m_clock.now();
+        m_nextList = m_clock.now();
+        applyListing(call, *reply.listing);
+        return;
+    }
+    if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
+        if (call.fence == m_fence) {
+            m_fenceStep = std::max(firstFenceJump, m_fenceStep * 2);
+            m_fence += m_fenceStep;
+            m_nextList = m_clock.now();
+        }
+        return;
+    }
+    if (++m_listFailures == trustedFailures) {
+        log("target_silent", {{"target", m_target->life.id},
+                              {"status", std::string{toText(reply.status)}},
+                              {"runs", std::to_string(m_runs.size())}});
+    }
+    const bool starts = std::ranges::any_of(
+            m_runs, [](const auto &run) { return run.second.state == run_state::unresolved; });
+    m_fenceDue = m_fenceDue || (starts && !call.waits);
+    m_nextList = m_clock.now() + retryPause;
+}
+
+void target_session::applyListing(const pending_call &call, const run_listing &listing)
+{
+    if (listing.startedMs != m_target->life.startedMs) {
+        if (listing.startedMs > m_target->life.startedMs) {
+            auto restarted = *m_target;
+            restarted.life.startedMs = listing.startedMs;
+            restarted.sequence = 0;
+            restarted.clockMs.reset();
+            beginLife(restarted);
+        }
+        return;
+    }
+    const std::set<run_ref> running{listing.running.begin(), listing.running.end()};
+    applyEnds(listing.ended);
+    if (m_voidOnClear && call.fence == m_fence) {
+        m_voidOnClear = false;
+        while (!m_runs.empty()) {
+            end(run_ref{m_runs.begin()->first}, session_end::kind::lost);
+        }
+    }
+    resolveRuns(call, running);
+    stopForeign(running);
+    if (!m_cleared && call.fence == m_fence &&
+        std::ranges::none_of(running, [&](const auto &ref) { return !m_runs.contains(ref); })) {
+        m_cleared = true;
+        log("target_cleared",
+            {{"target", m_target->life.id}, {"fence", std::to_string(m_fence)}});
+    }
+}
+
+void target_session::applyEnds(const std::vector<listed_end> &ended)
+{
+    for (const auto &listed : ended) {
+        if (listed.number <= m_endsSeen) {
+            continue;
+        }
+        m_endsSeen = listed.number;
+        m_foreignStops.erase(listed.ref);
+        switch (listed.kind) {
+        case run_end_kind::done:
+            end(listed.ref, session_end::kind::done);
+            break;
+        case run_end_kind::failed:
+            end(listed.ref, session_end::kind::failed);
+            break;
+        case run_end_kind::stopped:
+            end(listed.ref, session_end::kind::stopped);
+            break;
+        case run_end_kind::lapsed:
+            end(listed.ref, session_end::kind::lost);
+            break;
+        }
+    }
+}
+
+void target_session::resolveRuns(const pending_call &call, const std::set<run_ref> &running)
+{
+    std::vector<std::pair<run_ref, session_end::kind>> gone;
+    for (auto &[ref, run] : m_runs) {
+        if (run.state == run_state::unresolved) {
+            if (running.contains(ref)) {
+                run.state = run_state::running;
+                run.confirmed = m_clock.now();
+            } else if (call.fence > run.startFence) {
+                gone.emplace_back(ref, session_end::kind::not_started);
+            }
+        } else if (run.state == run_state::running && !running.contains(ref) &&
+                   call.sent > run.confirmed) {
+            gone.emplace_back(ref, session_end::kind::lost);
+        }
+    }
+    for (const auto &[ref, how] : gone) {
+        const bool notStarted = how == session_end::kind::not_started;
+        log(notStarted ? "start_void" : "run_missing",
+            {{"run", toText(ref)}, {"fence", std::to_string(call.fence)}});
+        end(ref, how, notStarted ? start_refusal::retry : start_refusal::none);
+    }
+}
+
+void target_session::stopForeign(const std::set<run_ref> &running)
+{
+    const auto now = m_clock.now();
+    for (const auto &ref : running) {
+        if (m_runs.contains(ref)) {
+            continue;
+        }
+        auto &sent = m_foreignStops[ref];
+        if (now - sent >= stopRepeat) {
+            sent = now;
+            log("foreign_run_stopped", {{"run", toText(ref)}, {"target", m_target->life.id}});
+            sendStop(ref, nullptr);
+        }
+    }
+    std::erase_if(m_foreignStops, [&](const auto &stop) { return !running.contains(stop.first); });
+}
+
+void target_session::end(const run_ref &ref, session_end::kind how, start_refusal refusal)
+{
+    const auto found = m_runs.find(ref);
+    if (found == m_runs.end()) {
+        return;
+    }
+    m_committed -= found->second.demand;
+    m_ends.push_back({ref, how, refusal, m_clock.now() - found->second.started});
+    m_runs.erase(found);
+}
+
+void target_session::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_events.emplace_back(std::move(name), std::move(fields));
+}
+
+} // namespace bamboohead
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -44,7 +44,7 @@
 
 std::size_t messageKind(const wire::Envelope &envelope) noexcept
 {
-    static_assert(messageKinds.size() == wire::Envelope::kConfigPush - wire::Envelope::kHello + 1);
+    static_assert(messageKinds.size() == wire::Envelope::kEntrySync - wire::Envelope::kHello + 1);
     const auto payload = envelope.payload_case();
     return payload < wire::Envelope::kHello
                    ? messageKinds.size()
