Order jobs by latest start, refuse at arrival what cannot start in time, leave slow targets

Also: the processes exit within the grace time, idle connections close in a drain, SIGHUP during the start no longer ends a process.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -50,6 +50,8 @@
     void respond(http_exchange exchange, http_server_response response);
     /// @brief From now on each response ends its connection.
     void closeAfterResponses();
+    /// @brief Accepts no further connections and closes those without a request.
+    void closeIdle();
     /// @brief Whether a response is still being sent.
     [[nodiscard]] bool sending() const;
     [[nodiscard]] std::size_t connections() const;
--- a/include/bamboohead/clock.hpp
+++ b/include/bamboohead/clock.hpp
@@ -26,7 +26,8 @@
 };
 
 /// @brief Reads the clock that also advances while the whole machine is suspended, which the steady
-///        clock of Linux does not. A lease that was held before a suspension is then seen to be over.
+///        clock of Linux does not. A lease that was held before a suspension is then seen to be
+///        over.
 class suspend_aware_clock final : public clock
 {
 public:
--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -2,6 +2,8 @@
 
 #include "bamboohead/dispatch/batch_job.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
+#include "bamboohead/dispatch/load_policy.hpp"
+#include "bamboohead/target_health.hpp"
 
 #include <cstdint>
 #include <map>
@@ -20,6 +22,7 @@
     time_point ordered;
     bool stopping = false;
     time_point stopSent;
+    duration expected{}; ///< run time on an ordinary target
 };
 
 /// @brief What an entry knows of one agent.
@@ -34,7 +37,7 @@
     bool ready = false;
     bool cleared = false;
     resources capacity;
-    resources committed;            ///< all runs at the agent, as of its newest report
+    resources committed;             ///< all runs at the agent, as of its newest report
     std::uint64_t ordersHandled = 0; ///< newest message of orders that `committed` includes
     std::uint64_t ordersSent = 0;
     std::uint64_t endsSeen = 0;
@@ -42,6 +45,7 @@
     time_point lastMembers;
     std::map<run_ref, outstanding_run> outstanding;
     time_point fullUntil; ///< refused an order for want of room
+    target_pace pace;
 
     /// @brief Demand of orders that the newest report does not include.
     [[nodiscard]] resources unseen() const;
@@ -55,6 +59,7 @@
     const batch_step *work = nullptr;
     std::string_view service;
     incarnation_id avoid = incarnation_id::none;
+    double mostSlowness = 0; ///< slower targets would end the task too late
 };
 
 /// @brief Agents known to an entry, and the choice among them.
@@ -71,7 +76,7 @@
     {
         return m_agents;
     }
-    [[nodiscard]] agent_view *find(incarnation_id agent);
+    void forget(incarnation_id agent);
 
     /// @brief Chooses an agent with room for a task now, else one with room in its queue.
     ///
@@ -82,6 +87,11 @@
 
     /// @brief Whether an agent may get orders.
     [[nodiscard]] bool usable(const agent_view &agent) const;
+    /// @brief Counts an end for the health of the agent's target.
+    void taskEnded(incarnation_id agent, batch_job_id job, bool failed);
+    void orderSent(incarnation_id agent);
+    /// @brief Whether an ordinary agent has room for a task now.
+    [[nodiscard]] bool hasIdle(const placement_request &request) const;
     [[nodiscard]] std::size_t usableAgents(std::string_view service) const;
     /// @brief Resources of all usable agents of a service.
     [[nodiscard]] resources capacity(std::string_view service) const;
@@ -94,6 +104,7 @@
     const fleet_member &m_member;
     std::map<incarnation_id, agent_view> m_agents;
     std::mt19937_64 m_random;
+    target_health m_health;
 };
 
 } // namespace bamboohead
--- a/include/bamboohead/dispatch/batch_job.hpp
+++ b/include/bamboohead/dispatch/batch_job.hpp
@@ -20,10 +20,10 @@
     std::uint32_t count = 1;
     resources demand; ///< of each task
     duration estimate{};
-    std::vector<std::uint32_t> after;  ///< earlier steps whose tasks all have to be done
-    std::string requiredLabel;         ///< a target needs it; empty: any target
-    std::string preferredLabel;        ///< the rack that holds the data; elsewhere a task is slower
-    std::uint32_t mostPerTarget = 0;   ///< tasks of the step on one target; 0: no limit
+    std::vector<std::uint32_t> after; ///< earlier steps whose tasks all have to be done
+    std::string requiredLabel;        ///< a target needs it; empty: any target
+    std::string preferredLabel;       ///< the rack that holds the data; elsewhere a task is slower
+    std::uint32_t mostPerTarget = 0;  ///< tasks of the step on one target; 0: no limit
 };
 
 /// @brief A job as its caller describes it.
@@ -46,8 +46,8 @@
 struct batch_task_record
 {
     batch_task_state state = batch_task_state::waiting;
-    std::uint32_t run = 0;      ///< number of the newest run; 0: none yet
-    std::uint32_t failures = 0; ///< runs that ended as failed
+    std::uint32_t run = 0;                       ///< number of the newest run; 0: none yet
+    std::uint32_t failures = 0;                  ///< runs that ended as failed
     incarnation_id avoid = incarnation_id::none; ///< agent of the newest run that went wrong
 };
 
@@ -59,8 +59,10 @@
     std::uint32_t done = 0;
 };
 
-/// @brief Response-time objective: the work of the longest chain of steps, with the route's stretch
-///        and target latency.
-[[nodiscard]] duration responseObjective(const batch_submission &job, const dispatch_route &route);
+/// @brief Declared run time of the longest chain of steps.
+[[nodiscard]] duration longestChain(const batch_submission &job);
+
+/// @brief Response-time objective of a job whose longest chain runs for `chain`.
+[[nodiscard]] duration responseObjective(duration chain, const dispatch_route &route);
 
 } // namespace bamboohead
--- a/include/bamboohead/dispatch/desired_state.hpp
+++ b/include/bamboohead/dispatch/desired_state.hpp
@@ -48,8 +48,8 @@
 
 /// @brief Finds the route of the host with the longest prefix of the path.
 /// @param path Lives as long as the result.
-[[nodiscard]] std::optional<route_match> findRoute(const desired_state &state, std::string_view host,
-                                                   std::string_view path);
+[[nodiscard]] std::optional<route_match> findRoute(const desired_state &state,
+                                                   std::string_view host, std::string_view path);
 
 /// @brief Conversions to and from the form that processes exchange.
 /// @{
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -34,6 +34,10 @@
     /// The platform ends a process that was asked to stop after 6 s.
     duration drainLimit = std::chrono::milliseconds{5'500};
     duration defaultPatience = std::chrono::seconds{30}; ///< of callers that do not tell theirs
+    /// Without a usable agent for this long, jobs are refused; agents find a new entry sooner.
+    duration targetGrace = std::chrono::milliseconds{2'000};
+    /// An answer after this multiple of the response-time objective is of no use to its caller.
+    int usefulObjectives = 3;
     std::size_t maxJobs = 20'000;
 };
 
@@ -96,12 +100,15 @@
     /// @brief Whether callers should be sent here.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] bool draining() const noexcept { return m_stopSince.has_value(); }
+    /// @brief Whether the shutdown has come so far that new jobs are refused.
+    [[nodiscard]] bool refusesJobs() const;
     [[nodiscard]] const dispatch_entry_counters &counters() const noexcept { return m_counters; }
     [[nodiscard]] boost::json::value dump() const;
 
 private:
-    /// Lower keys are served first.
-    using queue_key = std::tuple<std::uint32_t, time_point, batch_job_id>;
+    /// Lower keys are served first: jobs that can still meet their objective, then the route's
+    /// priority, then the time at which a job has to start.
+    using queue_key = std::tuple<bool, std::uint32_t, time_point, batch_job_id>;
 
     struct job_record
     {
@@ -111,6 +118,10 @@
         std::vector<batch_step_record> steps;
         time_point received;
         time_point expires;
+        duration objective{};    ///< response time that the route asks for
+        time_point latestStart;  ///< a later start misses the objective
+        time_point latestUseful; ///< a later start is of no use to the caller
+        bool late = false;       ///< `latestStart` has passed with tasks waiting
         std::size_t outstanding = 0;
         bool started = false;
         bool ending = false; ///< no further starts; the record goes with its last run
@@ -126,8 +137,10 @@
     void reportReceived(incarnation_id sender, const wire::Envelope &envelope);
     void updateView(agent_view &agent, const wire::DispatchReport &report);
     void reconcile(agent_view &agent, const wire::DispatchReport &report);
-    void runEnded(agent_view &agent, const run_ref &ref, wire::RunOutcome outcome,
-                  error_kind error);
+    void runEnded(agent_view &agent, const wire::RunEnd &end);
+    void observeRunTime(agent_view &agent, const job_record &job, const run_ref &ref,
+                        const outstanding_run &run, duration runTime);
+    void watchRun(agent_view &agent, const run_ref &ref, outstanding_run &run, duration runTime);
     void runLost(const run_ref &ref, incarnation_id agent, std::string_view why);
     void taskDone(job_record &job, const run_ref &ref);
     void taskFailed(job_record &job, const run_ref &ref, incarnation_id agent);
@@ -136,7 +149,13 @@
     void loseSilentAgents();
     [[nodiscard]] error_kind refusalOf(const dispatch_route &route,
                                        const batch_submission &job) const;
-    void refuse(caller_request request, batch_job_id id, error_kind why);
+    void refuse(caller_request request, batch_job_id id, error_kind why, duration retryAfter);
+    void setTimes(job_record &job) const;
+    [[nodiscard]] duration expectedWait(const queue_key &key, const job_record &job) const;
+    [[nodiscard]] std::uint64_t waitingWork(const job_record &job) const;
+    [[nodiscard]] placement_request requestFor(const job_record &job, std::uint32_t step,
+                                               std::uint32_t index) const;
+    void shedLateJobs();
     void resumeEnding(job_record &job, caller_request request);
     void enqueue(const job_record &job);
     void dispatch();
@@ -164,6 +183,9 @@
     std::deque<ended_job> m_endedOrder;
     std::map<incarnation_id, wire::DispatchOrders> m_drafts;
     std::map<incarnation_id, time_point> m_lastSync;
+    run_time_model m_times;
+    start_rate m_rate;
+    time_point m_lastUsable; ///< an agent could get orders, or the process started
     bool m_dispatchDue = false;
     std::optional<time_point> m_stopSince;
     bool m_done = false;
--- a/include/bamboohead/dispatch/store_calls.hpp
+++ b/include/bamboohead/dispatch/store_calls.hpp
@@ -77,7 +77,8 @@
     std::uint64_t lease = 0;
 };
 
-using store_request = std::variant<list_area, watch_area, grant_lease, renew_lease, end_lease, put_member>;
+using store_request =
+        std::variant<list_area, watch_area, grant_lease, renew_lease, end_lease, put_member>;
 
 /// @brief How a call to the store ended.
 enum class store_status : std::uint8_t {
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -25,7 +25,7 @@
     duration leaseRenewal = std::chrono::milliseconds{1'500};
     /// Pause between reads of the members by a process that does not watch them.
     duration connectedPoll = std::chrono::seconds{30};
-    duration disconnectedPoll = std::chrono::milliseconds{1'000};
+    duration disconnectedPoll = std::chrono::milliseconds{250};
 };
 
 /// @brief Follows one area of the store: reads it, then watches for changes, and reads it again
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -24,6 +24,9 @@
     duration listWait = std::chrono::milliseconds{250};
     /// A call within one machine takes about a millisecond; later replies mean trouble.
     duration callTimeout = std::chrono::milliseconds{100};
+    /// A start without a reply is made void after this time, which costs one call; the task then
+    /// starts again and may still be in time.
+    duration startTimeout = std::chrono::milliseconds{40};
     /// A target without a list reply for this long gets no new tasks.
     duration silenceLimit = std::chrono::milliseconds{600};
     /// A target's clock may be slower than ours by this many thousandths.
@@ -81,6 +84,8 @@
     void start(const run_ref &ref, const std::string &spec, const resources &demand);
     void stop(const run_ref &ref);
     [[nodiscard]] bool holds(const batch_task &task) const;
+    /// @brief Time since the run was started; 0 for an unknown one.
+    [[nodiscard]] duration runningTime(const run_ref &ref) const;
     [[nodiscard]] const resources &committed() const noexcept { return m_committed; }
     [[nodiscard]] std::size_t runs() const noexcept { return m_runs.size(); }
 
@@ -129,7 +134,8 @@
     void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
     void stopForeign(const std::set<run_ref> &running);
     void loseLapsedRuns();
-    void end(const run_ref &ref, session_end::kind how, start_refusal refusal = start_refusal::none);
+    void end(const run_ref &ref, session_end::kind how,
+             start_refusal refusal = start_refusal::none);
     void noteClock(std::int64_t clockMs);
     [[nodiscard]] std::int64_t targetClock() const;
     [[nodiscard]] bool leaseSurelyOver() const;
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -34,8 +34,8 @@
 class async_http_server::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(asio::io_context &context, const std::string &address,
-                   async_http_limits limits, request_handler onRequest, gone_handler onGone)
+    implementation(asio::io_context &context, const std::string &address, async_http_limits limits,
+                   request_handler onRequest, gone_handler onGone)
         : m_limits{limits}
         , m_onRequest{std::move(onRequest)}
         , m_onGone{std::move(onGone)}
@@ -82,6 +82,14 @@
     }
 
     void closeAfterResponses() { m_closing = true; }
+
+    void refuseConnections()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        closeUnused(std::chrono::steady_clock::now());
+    }
+
     bool sending() const { return m_sending > 0; }
     std::size_t connections() const { return m_connections.size(); }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
@@ -117,6 +125,9 @@
             if (self->m_stopped) {
                 return;
             }
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
             if (error) {
                 self->m_retry.emplace(self->m_timer.get_executor(), acceptPause);
                 self->m_retry->async_wait([self](error_code) { self->accept(); });
@@ -221,9 +232,8 @@
         from->parser.reset();
         from->waiting = true;
         respond(from->exchange,
-                http_server_response{large ? http::status::payload_too_large
-                                           : http::status::bad_request,
-                                     11});
+                http_server_response{
+                        large ? http::status::payload_too_large : http::status::bad_request, 11});
     }
 
     void written(const connection_ptr &to, error_code error)
@@ -262,17 +272,18 @@
             if (error || self->m_stopped) {
                 return;
             }
-            self->closeIdle();
+            self->closeUnused(std::chrono::steady_clock::now() - self->m_limits.idle);
             self->sweep();
         });
     }
 
-    void closeIdle()
+    /// Closes connections that wait for a request and carried nothing since `oldest`.
+    void closeUnused(std::chrono::steady_clock::time_point oldest)
     {
-        const auto oldest = std::chrono::steady_clock::now() - m_limits.idle;
         std::vector<connection_ptr> idle;
         for (const auto &[exchange, connection] : m_connections) {
-            if (!connection->waiting && connection->lastActive < oldest) {
+            if (!connection->waiting && connection->buffer.size() == 0 &&
+                connection->lastActive < oldest) {
                 idle.push_back(connection);
             }
         }
@@ -313,6 +324,11 @@
     m_impl->respond(exchange, std::move(response));
 }
 
+void async_http_server::closeIdle()
+{
+    m_impl->refuseConnections();
+}
+
 void async_http_server::closeAfterResponses()
 {
     m_impl->closeAfterResponses();
--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -11,8 +11,8 @@
 
 namespace http = boost::beast::http;
 
-/// The time of day grows over restarts of the agent, also on a machine without a disk. Where a clock
-/// was set back, the target refuses the fence and the session raises it.
+/// The time of day grows over restarts of the agent, also on a machine without a disk. Where a
+/// clock was set back, the target refuses the fence and the session raises it.
 std::uint64_t firstFence()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -28,7 +28,9 @@
                      const dispatch_settings &settings)
         : m_loop{loop}
         , m_core{core}
-        , m_reports{loop.context(), settings.targets, {},
+        , m_reports{loop.context(),
+                    settings.targets,
+                    {},
                     [this](auto exchange, const auto &request) { handle(exchange, request); },
                     [](auto) {}}
     {}
@@ -37,12 +39,12 @@
     {
         const auto &header = std::visit(
                 [](const auto &made) -> const call_header & { return made.header; }, next);
-        m_loop.client().call(header.address, platform::encode(next), header.timeout,
-                             [this, id = header.id](http_call_end end,
-                                                    const http_client_response &response) {
-                                 m_core.callEnded(platform::decodeTargetReply(id, end, response));
-                                 m_loop.wake();
-                             });
+        m_loop.client().call(
+                header.address, platform::encode(next), header.timeout,
+                [this, id = header.id](http_call_end end, const http_client_response &response) {
+                    m_core.callEnded(platform::decodeTargetReply(id, end, response));
+                    m_loop.wake();
+                });
     }
 
 private:
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -18,10 +18,14 @@
                      const dispatch_settings &settings)
         : m_loop{loop}
         , m_core{core}
-        , m_callers{loop.context(), settings.callers, {},
+        , m_callers{loop.context(),
+                    settings.callers,
+                    {},
                     [this](auto exchange, const auto &request) { handle(exchange, request); },
                     [this](auto exchange) { gone(exchange); }}
-        , m_checks{loop.context(), settings.readiness, {},
+        , m_checks{loop.context(),
+                   settings.readiness,
+                   {},
                    [this](auto exchange, const auto &request) { check(exchange, request); },
                    [](auto) {}}
     {}
@@ -33,6 +37,7 @@
     }
 
     void closeAfterResponses() { m_callers.closeAfterResponses(); }
+    void closeIdle() { m_callers.closeIdle(); }
     [[nodiscard]] bool sending() const { return m_callers.sending(); }
 
 private:
@@ -55,8 +60,7 @@
             refuse(exchange, error_kind::not_current);
             return;
         }
-        const auto match =
-                findRoute(config, platform::hostOf(request), platform::pathOf(request));
+        const auto match = findRoute(config, platform::hostOf(request), platform::pathOf(request));
         if (!match) {
             refuse(exchange, error_kind::unknown_route);
             return;
@@ -150,6 +154,11 @@
         }
     });
     loop.onStop([&] { callers.closeAfterResponses(); });
+    loop.onTick([&] {
+        if (core.refusesJobs()) {
+            callers.closeIdle();
+        }
+    });
     loop.onExit([&] { return !callers.sending(); });
     logStart(options.self, settings.http);
     loop.run();
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -52,8 +52,8 @@
     /// @brief Carries out an action that is neither a message, a log line nor the shutdown.
     using action_handler = std::function<void(dispatch_action &)>;
 
-    dispatch_loop(const process_settings &settings, std::string settingsFile,
-                  const clock &clock, Core &core, store_follower_options storeOptions)
+    dispatch_loop(const process_settings &settings, std::string settingsFile, const clock &clock,
+                  Core &core, store_follower_options storeOptions)
         : m_settings{settings}
         , m_file{std::move(settingsFile)}
         , m_core{core}
--- a/src/adapters/logging.cpp
+++ b/src/adapters/logging.cpp
@@ -86,7 +86,8 @@
     {
         const std::lock_guard guard{m_mutex};
         if (m_dropped > 0 && m_lines.size() < maxWaitingBytes) {
-            m_lines += "level=WARN event=log_lines_dropped count=" + std::to_string(m_dropped) + "\n";
+            m_lines +=
+                    "level=WARN event=log_lines_dropped count=" + std::to_string(m_dropped) + "\n";
             m_dropped = 0;
         }
         std::size_t written = 0;
@@ -177,7 +178,9 @@
     implementation &operator=(const implementation &) = delete;
 
 private:
-    log4cplus::Initializer m_library;
+    /// Never destroyed: its destructor joins the library's worker threads, which was seen not to
+    /// return on the users' platform.
+    log4cplus::Initializer &m_library = *new log4cplus::Initializer;
 };
 
 log_session::log_session(const log_settings &settings)
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -149,7 +149,8 @@
                         [](auto &settings, auto value) { settings.seeds = std::move(value); }),
             choiceSetting("/log/level", R"("info")", "debug, info, warning, error",
                           "Least severity that is logged.", isLevel, assignLevel),
-            textSetting("/log/file", R"("")", "a path, - for standard output, or empty for standard error",
+            textSetting("/log/file", R"("")",
+                        "a path, - for standard output, or empty for standard error",
                         "File that log lines are appended to.", isAnyText,
                         [](auto &settings, auto value) { settings.log.file = std::move(value); }),
             textSetting(
@@ -221,11 +222,10 @@
                         [](auto &settings, auto value) {
                             settings.dispatch.targets = std::move(value);
                         }),
-            textSetting("/dispatch/store", R"("")", "host:port, or empty",
-                        "Address of the platform's store.", isAddressOrEmpty,
-                        [](auto &settings, auto value) {
-                            settings.dispatch.store = std::move(value);
-                        }),
+            textSetting(
+                    "/dispatch/store", R"("")", "host:port, or empty",
+                    "Address of the platform's store.", isAddressOrEmpty,
+                    [](auto &settings, auto value) { settings.dispatch.store = std::move(value); }),
             listSetting("/dispatch/contacts", "up to 16 of host:port",
                         "Agents that may know entries; only the hosts are used, with the port of "
                         "the process's own endpoint.",
--- a/src/commands/processes.cpp
+++ b/src/commands/processes.cpp
@@ -3,6 +3,8 @@
 #include "bamboohead/settings.hpp"
 #include "command_line.hpp"
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace bamboohead {
@@ -38,32 +40,42 @@
     });
 }
 
+int dispatchCommand(int argc, char **argv, const std::string &help, process_function run)
+{
+    // Settings may change while the process starts; the default action would end it.
+    (void)std::signal(SIGHUP, SIG_IGN);
+    const int status = processCommand(argc, argv, help, run);
+    // Destructors of static objects join the log library's worker threads, which was seen not to
+    // return on the users' platform. All work is done and the log is written.
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(status);
+}
+
 } // namespace
 
 int entryCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an entry, which accepts and places jobs.",
-                          [](const process_settings &settings, const std::string &) {
-                              runEntry(settings);
-                          });
+    return processCommand(
+            argc, argv, "Runs an entry, which accepts and places jobs.",
+            [](const process_settings &settings, const std::string &) { runEntry(settings); });
 }
 
 int agentCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an agent beside a target.",
-                          [](const process_settings &settings, const std::string &) {
-                              runAgent(settings);
-                          });
+    return processCommand(
+            argc, argv, "Runs an agent beside a target.",
+            [](const process_settings &settings, const std::string &) { runAgent(settings); });
 }
 
 int dispatchEntryCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an entry on the users' platform.", runDispatchEntry);
+    return dispatchCommand(argc, argv, "Runs an entry on the users' platform.", runDispatchEntry);
 }
 
 int dispatchAgentCommand(int argc, char **argv)
 {
-    return processCommand(argc, argv, "Runs an agent on the users' platform.", runDispatchAgent);
+    return dispatchCommand(argc, argv, "Runs an agent on the users' platform.", runDispatchAgent);
 }
 
 int settingsCommand(int argc, char **argv)
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -13,7 +13,14 @@
 /// because other entries use it too.
 constexpr std::uint64_t queuePercent = 12;
 constexpr std::uint64_t percent = 100;
-constexpr std::uint64_t preferredWeight = 4; ///< of targets near the data
+constexpr double preferredWeight = 4;    ///< of targets near the data
+constexpr double ordinarySlowness = 2.0; ///< slower targets get work only when no other has room
+
+/// Health counts jobs by the ids of callers' sessions; jobs with ids of their own have no session.
+job_id healthKey(batch_job_id job)
+{
+    return job_id{{}, static_cast<std::uint64_t>(job)};
+}
 
 bool hasLabel(const agent_view &agent, const std::string &label)
 {
@@ -33,10 +40,10 @@
     return sum;
 }
 
-agent_view *agent_pool::find(incarnation_id agent)
+void agent_pool::forget(incarnation_id agent)
 {
-    const auto found = m_agents.find(agent);
-    return found == m_agents.end() ? nullptr : &found->second;
+    m_agents.erase(agent);
+    m_health.remove(agent);
 }
 
 bool agent_pool::usable(const agent_view &agent) const
@@ -46,6 +53,16 @@
            m_member.links().alive(agent.incarnation, usableLimit);
 }
 
+void agent_pool::taskEnded(incarnation_id agent, batch_job_id job, bool failed)
+{
+    m_health.taskEnded(agent, healthKey(job), failed, m_member.now());
+}
+
+void agent_pool::orderSent(incarnation_id agent)
+{
+    m_health.orderSent(agent, m_member.now());
+}
+
 std::uint32_t agent_pool::tasksOf(const agent_view &agent, const placement_request &request)
 {
     const run_ref first{{request.job, request.step, 0}, 0};
@@ -63,29 +80,45 @@
 {
     const auto &work = *request.work;
     return agent.service == request.service && usable(agent) &&
+           m_health.usable(agent.incarnation, m_member.now()) &&
            work.demand.fitsIn(agent.capacity) &&
            (work.requiredLabel.empty() || hasLabel(agent, work.requiredLabel)) &&
            (work.mostPerTarget == 0 || tasksOf(agent, request) < work.mostPerTarget);
 }
 
+bool agent_pool::hasIdle(const placement_request &request) const
+{
+    return std::ranges::any_of(m_agents, [&](const auto &entry) {
+        const auto &agent = entry.second;
+        return entry.first != request.avoid && fits(agent, request) &&
+               agent.pace.slowness(m_member.now()) < ordinarySlowness &&
+               request.work->demand.fitsIn(agent.capacity - (agent.committed + agent.unseen()));
+    });
+}
+
 agent_view *agent_pool::choose(const placement_request &request)
 {
-    std::vector<std::pair<agent_view *, std::uint64_t>> idle;
-    std::uint64_t weights = 0;
-    agent_view *queued = nullptr;
-    std::uint64_t mostRoom = 0;
+    std::vector<std::pair<agent_view *, double>> idle;
+    double weights = 0;
+    agent_view *fallback = nullptr;
+    double fallbackCost = 0;
     const auto &demand = request.work->demand;
     for (auto &[incarnation, agent] : m_agents) {
         if (!fits(agent, request)) {
             continue;
         }
+        const auto slowness = agent.pace.slowness(m_member.now());
+        if (slowness > std::max(request.mostSlowness, ordinarySlowness)) {
+            continue;
+        }
         const auto used = agent.committed + agent.unseen();
         const auto free = agent.capacity - used;
-        const bool avoided = incarnation == request.avoid;
-        if (demand.fitsIn(free) && !avoided) {
+        const bool fitsNow = demand.fitsIn(free);
+        if (fitsNow && incarnation != request.avoid && slowness < ordinarySlowness) {
             const auto &label = request.work->preferredLabel;
-            const auto factor = !label.empty() && hasLabel(agent, label) ? preferredWeight : 1;
-            const auto weight = std::max<std::uint64_t>(1, free.cpuMillis * factor);
+            const bool near = !label.empty() && hasLabel(agent, label);
+            const auto weight = static_cast<double>(std::max<std::uint64_t>(1, free.cpuMillis)) *
+                                (near ? preferredWeight : 1.0) / (slowness * slowness);
             idle.emplace_back(&agent, weight);
             weights += weight;
             continue;
@@ -93,15 +126,17 @@
         auto extended = agent.capacity;
         extended.cpuMillis += extended.cpuMillis * queuePercent / percent;
         const auto room = extended - used;
-        if (demand.fitsIn(room) && room.cpuMillis > mostRoom) {
-            mostRoom = room.cpuMillis;
-            queued = &agent;
+        const auto cost =
+                slowness / static_cast<double>(std::max<std::uint64_t>(1, room.cpuMillis));
+        if (demand.fitsIn(room) && (fallback == nullptr || cost < fallbackCost)) {
+            fallbackCost = cost;
+            fallback = &agent;
         }
     }
     if (idle.empty()) {
-        return queued;
+        return fallback;
     }
-    auto pick = std::uniform_int_distribution<std::uint64_t>{0, weights - 1}(m_random);
+    auto pick = std::uniform_real_distribution<double>{0, weights}(m_random);
     for (const auto &[agent, weight] : idle) {
         if (pick < weight) {
             return agent;
--- a/src/dispatch/batch_job.cpp
+++ b/src/dispatch/batch_job.cpp
@@ -4,7 +4,7 @@
 
 namespace bamboohead {
 
-duration responseObjective(const batch_submission &job, const dispatch_route &route)
+duration longestChain(const batch_submission &job)
 {
     std::vector<duration> ends;
     duration longest{};
@@ -16,7 +16,12 @@
         ends.push_back(begin + step.estimate);
         longest = std::max(longest, ends.back());
     }
-    const auto stretched = std::chrono::duration<double, duration::period>{longest} * route.stretch;
+    return longest;
+}
+
+duration responseObjective(duration chain, const dispatch_route &route)
+{
+    const auto stretched = std::chrono::duration<double, duration::period>{chain} * route.stretch;
     return std::chrono::duration_cast<duration>(stretched) + route.targetLatency;
 }
 
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -89,7 +89,8 @@
     return (committed() + demand).fitsIn(room) ? error_kind::none : error_kind::no_room;
 }
 
-void dispatch_agent::acceptAll(incarnation_id entry, const wire::DispatchOrders &message, bool fresh)
+void dispatch_agent::acceptAll(incarnation_id entry, const wire::DispatchOrders &message,
+                               bool fresh)
 {
     for (const auto &order : message.orders()) {
         for (const auto &task : order.tasks()) {
@@ -329,11 +330,11 @@
             entry.lastReport = {};
         }
     }
-    if (m_stopSince && !m_done &&
-        (m_runs.empty() || m_member.now() - *m_stopSince >= m_options.limits.drainLimit)) {
+    if (m_stopSince && !m_done) {
         const bool told = std::ranges::all_of(
                 m_entries, [](const auto &entry) { return entry.second.unsent == 0; });
-        if (told) {
+        const bool limit = m_member.now() - *m_stopSince >= m_options.limits.drainLimit;
+        if ((m_runs.empty() && told) || limit) {
             m_done = true;
             m_member.push(shutdown_complete{});
         }
@@ -373,8 +374,7 @@
     const auto now = m_member.now();
     for (auto &[incarnation, entry] : m_entries) {
         const auto *const peer = m_member.links().find(incarnation);
-        if (peer == nullptr ||
-            now - std::max(peer->added, peer->lastArrival) > deadEntryLimit) {
+        if (peer == nullptr || now - std::max(peer->added, peer->lastArrival) > deadEntryLimit) {
             continue;
         }
         const auto interval = hasRunsOf(incarnation) || !entry.unacked.empty()
@@ -404,6 +404,7 @@
         for (const auto &[ref, run] : m_runs) {
             if (run.entry == entry) {
                 toWire(ref, *report.add_held());
+                report.add_running_ms(toMilliseconds(m_session.runningTime(ref)));
             }
         }
     }
@@ -424,8 +425,7 @@
 
 bool dispatch_agent::hasRunsOf(incarnation_id entry) const
 {
-    return std::ranges::any_of(m_runs,
-                               [&](const auto &run) { return run.second.entry == entry; });
+    return std::ranges::any_of(m_runs, [&](const auto &run) { return run.second.entry == entry; });
 }
 
 resources dispatch_agent::committed() const
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -10,11 +10,17 @@
 
 /// Jobs without room that are passed over for later ones before dispatching gives up.
 constexpr std::size_t maxPassedOver = 8;
-constexpr duration fullPause = 30ms; ///< an agent that refused for want of room gets no orders
+constexpr duration fullPause = 30ms;     ///< an agent that refused for want of room gets no orders
 constexpr duration refusedPause = 200ms; ///< same, after refusals for other reasons
 constexpr duration shortRetry = 1s;      ///< told to callers when the cause may pass soon
 constexpr std::size_t maxEnded = 100'000;
 constexpr duration deadAgentLimit = 3s;
+/// A run is moved when its target is this much slower than ordinary, and the run has taken this
+/// multiple of its expected time: less than starting again would take.
+constexpr double replacedSlowness = 2.0;
+constexpr int replacedAfter = 3;
+/// An entry without observations counts on one part in this many of its share of the targets.
+constexpr std::uint64_t assumedShare = 2;
 constexpr duration membersInterval = 2s; ///< between lists of entries sent to an agent
 
 std::uint32_t toMilliseconds(duration time)
@@ -31,6 +37,7 @@
     , m_pool{m_member, m_options.seed}
 {
     m_member.addContacts(m_options.contacts);
+    m_lastUsable = clock.now();
 }
 
 // Messages
@@ -59,7 +66,7 @@
     m_member.peerHolds(sender, report.config_version());
     updateView(agent, report);
     for (const auto &end : report.ends()) {
-        runEnded(agent, fromWire(end.run()), end.outcome(), errorFromWire(end.error()));
+        runEnded(agent, end);
         if (end.number() == agent.endsSeen + 1) {
             agent.endsSeen = end.number();
         }
@@ -95,8 +102,13 @@
 void dispatch_entry::reconcile(agent_view &agent, const wire::DispatchReport &report)
 {
     std::set<run_ref> held;
-    for (const auto &ref : report.held()) {
-        held.insert(fromWire(ref));
+    for (int index = 0; index < report.held_size(); ++index) {
+        const auto ref = *held.insert(fromWire(report.held(index))).first;
+        const auto known = agent.outstanding.find(ref);
+        if (known != agent.outstanding.end() && index < report.running_ms_size()) {
+            watchRun(agent, ref, known->second,
+                     std::chrono::milliseconds{report.running_ms(index)});
+        }
     }
     std::vector<run_ref> lost;
     for (const auto &[ref, run] : agent.outstanding) {
@@ -143,30 +155,33 @@
     }
     for (const auto incarnation : gone) {
         m_member.log("agent_lost", {{"agent", toText(incarnation)}});
-        m_pool.agents().erase(incarnation);
+        m_pool.forget(incarnation);
         m_drafts.erase(incarnation);
     }
 }
 
 // Ends of runs
 
-void dispatch_entry::runEnded(agent_view &agent, const run_ref &ref, wire::RunOutcome outcome,
-                              error_kind error)
+void dispatch_entry::runEnded(agent_view &agent, const wire::RunEnd &end)
 {
-    if (agent.outstanding.erase(ref) == 0) {
+    const auto ref = fromWire(end.run());
+    const auto known = agent.outstanding.find(ref);
+    if (known == agent.outstanding.end()) {
         return; // told before
     }
-    if (outcome == wire::RUN_OUTCOME_LOST) {
+    const auto run = known->second;
+    agent.outstanding.erase(known);
+    if (end.outcome() == wire::RUN_OUTCOME_LOST) {
         runLost(ref, agent.incarnation, "run_lost");
         return;
     }
-    if (outcome == wire::RUN_OUTCOME_REFUSED) {
+    if (end.outcome() == wire::RUN_OUTCOME_REFUSED) {
         ++m_counters.runsRefused;
-        agent.fullUntil =
-                m_member.now() + (error == error_kind::no_room ? fullPause : refusedPause);
-        if (error == error_kind::order_void || error == error_kind::order_duplicate) {
-            agent.fullUntil = {};
-        }
+        const auto error = errorFromWire(end.error());
+        const bool notTheAgent =
+                error == error_kind::order_void || error == error_kind::order_duplicate;
+        const auto pause = error == error_kind::no_room ? fullPause : refusedPause;
+        agent.fullUntil = notTheAgent ? time_point{} : m_member.now() + pause;
     }
     const auto found = m_jobs.find(ref.task.job);
     if (found == m_jobs.end()) {
@@ -174,8 +189,9 @@
     }
     auto &job = found->second;
     --job.outstanding;
-    switch (outcome) {
+    switch (end.outcome()) {
     case wire::RUN_OUTCOME_DONE:
+        observeRunTime(agent, job, ref, run, std::chrono::milliseconds{end.run_ms()});
         taskDone(job, ref);
         break;
     case wire::RUN_OUTCOME_FAILED:
@@ -188,12 +204,47 @@
     removeIfOver(ref.task.job);
 }
 
+void dispatch_entry::observeRunTime(agent_view &agent, const job_record &job, const run_ref &ref,
+                                    const outstanding_run &run, duration runTime)
+{
+    m_pool.taskEnded(agent.incarnation, ref.task.job, false);
+    agent.pace.ended(run.expected, runTime, m_member.now());
+    // A slow target tells nothing about the declared times.
+    if (agent.pace.slowness(m_member.now()) < replacedSlowness) {
+        m_times.observe(job.route.name, job.job.steps.at(ref.task.step).estimate, runTime);
+    }
+}
+
+/// Judges the target of a run that goes on, and moves the run elsewhere when it is much too slow.
+void dispatch_entry::watchRun(agent_view &agent, const run_ref &ref, outstanding_run &run,
+                              duration runTime)
+{
+    agent.pace.overdue(run.expected, runTime, m_member.now());
+    const auto found = m_jobs.find(ref.task.job);
+    if (run.stopping || found == m_jobs.end() || found->second.ending ||
+        runTime < run.expected * replacedAfter ||
+        agent.pace.slowness(m_member.now()) < replacedSlowness) {
+        return;
+    }
+    auto request = requestFor(found->second, ref.task.step, ref.task.index);
+    request.avoid = agent.incarnation;
+    if (!m_pool.hasIdle(request)) {
+        return;
+    }
+    run.stopping = true;
+    run.stopSent = m_member.now();
+    toWire(ref, *m_drafts[agent.incarnation].add_stops());
+    m_member.log("run_replaced", {{"run", toText(ref)},
+                                  {"agent", toText(agent.incarnation)},
+                                  {"run_ms", std::to_string(toMilliseconds(runTime))},
+                                  {"expected_ms", std::to_string(toMilliseconds(run.expected))}});
+}
+
 void dispatch_entry::runLost(const run_ref &ref, incarnation_id agent, std::string_view why)
 {
     ++m_counters.runsLost;
-    m_member.log("run_lost", {{"run", toText(ref)},
-                              {"agent", toText(agent)},
-                              {"reason", std::string{why}}});
+    m_member.log("run_lost",
+                 {{"run", toText(ref)}, {"agent", toText(agent)}, {"reason", std::string{why}}});
     const auto found = m_jobs.find(ref.task.job);
     if (found != m_jobs.end()) {
         --found->second.outstanding;
@@ -224,6 +275,7 @@
 {
     auto &task = job.steps.at(ref.task.step).tasks.at(ref.task.index);
     ++task.failures;
+    m_pool.taskEnded(agent, ref.task.job, true);
     m_member.log("task_failed", {{"run", toText(ref)},
                                  {"agent", toText(agent)},
                                  {"failures", std::to_string(task.failures)},
@@ -260,7 +312,51 @@
     if (m_jobs.size() >= m_options.limits.maxJobs) {
         return error_kind::too_many_waiters;
     }
-    return m_pool.usableAgents(route.service) == 0 ? error_kind::no_target : error_kind::none;
+    if (refusesJobs()) {
+        return error_kind::stopping;
+    }
+    const bool hopeless = m_member.now() - m_lastUsable >= m_options.limits.targetGrace;
+    return hopeless && m_pool.usableAgents(route.service) == 0 ? error_kind::no_target
+                                                               : error_kind::none;
+}
+
+bool dispatch_entry::refusesJobs() const
+{
+    return m_stopSince && m_member.now() - *m_stopSince >= m_options.limits.drainLinger;
+}
+
+void dispatch_entry::setTimes(job_record &job) const
+{
+    const auto chain = m_times.expected(job.route.name, longestChain(job.job));
+    job.objective = responseObjective(chain, job.route);
+    job.latestStart = job.received + job.objective - chain;
+    job.latestUseful = job.received + job.objective * m_options.limits.usefulObjectives - chain;
+}
+
+std::uint64_t dispatch_entry::waitingWork(const job_record &job) const
+{
+    std::uint64_t work = 0;
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        const auto &step = job.job.steps[number];
+        work += workOf(step.demand.cpuMillis, m_times.expected(job.route.name, step.estimate),
+                       job.steps[number].waiting.size());
+    }
+    return work;
+}
+
+/// Time until the jobs before `key` have started at the present rate.
+duration dispatch_entry::expectedWait(const queue_key &key, const job_record &job) const
+{
+    std::uint64_t backlog = 0;
+    for (auto before = m_queue.begin(); before != m_queue.end() && *before < key; ++before) {
+        backlog += waitingWork(m_jobs.at(std::get<batch_job_id>(*before)));
+    }
+    if (backlog == 0) {
+        return {};
+    }
+    const auto entries = m_member.links().peers(wire::ROLE_ENTRY).size() + 1;
+    const auto share = m_pool.capacity(job.route.service).cpuMillis / entries / assumedShare;
+    return m_rate.timeFor(backlog, share, m_member.now());
 }
 
 void dispatch_entry::submit(caller_request request, const dispatch_route &route,
@@ -274,14 +370,14 @@
         return;
     }
     if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
-        m_member.log("job_repeated", {{"job", toText(id)},
-                                      {"state", known->second.ending ? "ending" : "open"}});
+        m_member.log("job_repeated",
+                     {{"job", toText(id)}, {"state", known->second.ending ? "ending" : "open"}});
         resumeEnding(known->second, request);
         return;
     }
     const auto refusal = refusalOf(route, job);
     if (refusal != error_kind::none) {
-        refuse(request, id, refusal);
+        refuse(request, id, refusal, shortRetry);
         return;
     }
     job_record record;
@@ -297,13 +393,23 @@
         }
         record.steps.push_back(std::move(added));
     }
-    m_member.log("job_accepted", {{"job", toText(id)},
-                                  {"route", route.name},
-                                  {"steps", std::to_string(job.steps.size())},
-                                  {"tasks", std::to_string(job.steps.front().count)},
-                                  {"config", std::to_string(m_member.config().version)},
-                                  {"patience_ms", std::to_string(toMilliseconds(job.patience))}});
     record.job = std::move(job);
+    setTimes(record);
+    const bool targets = m_pool.usableAgents(route.service) > 0;
+    const auto wait = targets ? expectedWait(keyOf(record), record) : duration{};
+    if (record.received + wait > record.latestStart) {
+        refuse(request, id, error_kind::overloaded, wait);
+        return;
+    }
+    m_member.log("job_accepted",
+                 {{"job", toText(id)},
+                  {"route", route.name},
+                  {"steps", std::to_string(record.job.steps.size())},
+                  {"tasks", std::to_string(record.job.steps.front().count)},
+                  {"objective_ms", std::to_string(toMilliseconds(record.objective))},
+                  {"wait_ms", std::to_string(toMilliseconds(wait))},
+                  {"config", std::to_string(m_member.config().version)},
+                  {"patience_ms", std::to_string(toMilliseconds(record.job.patience))}});
     record.callers.push_back(request);
     m_callers.emplace(request, id);
     m_expiries.emplace(record.expires, id);
@@ -324,22 +430,26 @@
         job.ending = false;
         job.endState.reset();
         m_expiries.erase({job.expires, job.job.id});
-        job.expires = m_member.now() + (job.job.patience > duration{}
-                                                ? job.job.patience
-                                                : m_options.limits.defaultPatience);
+        job.expires =
+                m_member.now() + (job.job.patience > duration{} ? job.job.patience
+                                                                : m_options.limits.defaultPatience);
         m_expiries.emplace(job.expires, job.job.id);
         enqueue(job);
     }
 }
 
-void dispatch_entry::refuse(caller_request request, batch_job_id id, error_kind why)
+void dispatch_entry::refuse(caller_request request, batch_job_id id, error_kind why,
+                            duration retryAfter)
 {
     ++m_counters.refused;
     m_member.log("job_refused", {{"job", toText(id)},
                                  {"reason", std::string{answerFor(why).name}},
                                  {"agents", std::to_string(m_pool.agents().size())},
-                                 {"open_jobs", std::to_string(m_jobs.size())}});
-    m_member.push(job_reply{request, batch_job_state::failed, why, shortRetry});
+                                 {"open_jobs", std::to_string(m_jobs.size())},
+                                 {"waiting_jobs", std::to_string(m_queue.size())},
+                                 {"retry_ms", std::to_string(toMilliseconds(retryAfter))}});
+    m_member.push(
+            job_reply{request, batch_job_state::failed, why, std::max(retryAfter, shortRetry)});
 }
 
 void dispatch_entry::callerGone(caller_request request)
@@ -457,7 +567,7 @@
 
 dispatch_entry::queue_key dispatch_entry::keyOf(const job_record &job)
 {
-    return {job.route.priority, job.received, job.job.id};
+    return {job.late, job.route.priority, job.latestStart, job.job.id};
 }
 
 bool dispatch_entry::stepReady(const job_record &job, std::size_t step)
@@ -488,6 +598,55 @@
     }
 }
 
+/// A job that misses its objective gives way to those that can meet theirs, and is refused when it
+/// cannot start while its answer is of use. A refused job has no started task.
+void dispatch_entry::shedLateJobs()
+{
+    const auto now = m_member.now();
+    std::vector<batch_job_id> due;
+    for (const auto &key : m_queue) {
+        const auto &job = m_jobs.at(std::get<batch_job_id>(key));
+        const bool missed = !job.late && now > job.latestStart;
+        if (missed || (job.late && now > job.latestUseful && !job.started)) {
+            due.push_back(job.job.id);
+        }
+    }
+    for (const auto id : due) {
+        auto &job = m_jobs.at(id);
+        m_queue.erase(keyOf(job));
+        job.late = true;
+        const auto wait = expectedWait(keyOf(job), job);
+        if (job.started || now + wait <= job.latestUseful) {
+            m_queue.insert(keyOf(job));
+            continue;
+        }
+        const auto callers = std::exchange(job.callers, {});
+        for (const auto request : callers) {
+            m_callers.erase(request);
+            refuse(request, id, error_kind::overloaded, wait);
+        }
+        endJob(job, batch_job_state::cancelled, error_kind::overloaded);
+        removeIfOver(id);
+    }
+}
+
+placement_request dispatch_entry::requestFor(const job_record &job, std::uint32_t step,
+                                             std::uint32_t index) const
+{
+    placement_request request;
+    request.job = job.job.id;
+    request.step = step;
+    request.work = &job.job.steps[step];
+    request.service = job.route.service;
+    request.avoid = job.steps[step].tasks[index].avoid;
+    const auto expected = m_times.expected(job.route.name, request.work->estimate);
+    const auto objectives = job.late ? m_options.limits.usefulObjectives : 1;
+    const auto left = job.received + job.objective * objectives - m_member.now();
+    request.mostSlowness = static_cast<double>(left.count()) /
+                           static_cast<double>(std::max<duration::rep>(1, expected.count()));
+    return request;
+}
+
 /// @return Whether nothing of the job waits that may start now.
 bool dispatch_entry::dispatchJob(job_record &job)
 {
@@ -498,13 +657,7 @@
         }
         while (!step.waiting.empty()) {
             const auto index = step.waiting.back();
-            placement_request request;
-            request.job = job.job.id;
-            request.step = number;
-            request.work = &job.job.steps[number];
-            request.service = job.route.service;
-            request.avoid = step.tasks[index].avoid;
-            auto *const agent = m_pool.choose(request);
+            auto *const agent = m_pool.choose(requestFor(job, number, index));
             if (agent == nullptr) {
                 return false;
             }
@@ -523,9 +676,8 @@
         draft.set_number(++agent.ordersSent);
     }
     const auto id = static_cast<std::uint64_t>(job.job.id);
-    auto *group = draft.orders_size() == 0
-                          ? nullptr
-                          : draft.mutable_orders(draft.orders_size() - 1);
+    auto *group =
+            draft.orders_size() == 0 ? nullptr : draft.mutable_orders(draft.orders_size() - 1);
     if (group == nullptr || group->job() != id || group->step() != step) {
         group = draft.add_orders();
         group->set_job(id);
@@ -542,8 +694,15 @@
     added.set_index(index);
     added.set_run(task.run);
     const run_ref ref{{job.job.id, step, index}, task.run};
-    agent.outstanding.emplace(ref, outstanding_run{job.job.steps[step].demand, agent.ordersSent,
-                                                   m_member.now(), false, {}});
+    const auto &work = job.job.steps[step];
+    outstanding_run run;
+    run.demand = work.demand;
+    run.orderNumber = agent.ordersSent;
+    run.ordered = m_member.now();
+    run.expected = m_times.expected(job.route.name, work.estimate);
+    m_rate.started(workOf(work.demand.cpuMillis, run.expected, 1), m_member.now());
+    m_pool.orderSent(agent.incarnation);
+    agent.outstanding.emplace(ref, run);
     ++job.outstanding;
     job.started = true;
     ++m_counters.runsOrdered;
@@ -562,6 +721,11 @@
     m_member.tick();
     expireJobs();
     loseSilentAgents();
+    if (std::ranges::any_of(m_pool.agents(),
+                            [&](const auto &agent) { return m_pool.usable(agent.second); })) {
+        m_lastUsable = m_member.now();
+    }
+    shedLateJobs();
     forgetEnded();
     syncEntries();
     m_dispatchDue = m_dispatchDue || !m_queue.empty();
@@ -589,9 +753,8 @@
         envelope.mutable_entry_sync()->set_draining(draining());
         m_member.send(peer->incarnation, std::move(envelope));
     }
-    std::erase_if(m_lastSync, [&](const auto &entry) {
-        return m_member.links().find(entry.first) == nullptr;
-    });
+    std::erase_if(m_lastSync,
+                  [&](const auto &entry) { return m_member.links().find(entry.first) == nullptr; });
 }
 
 std::vector<dispatch_action> dispatch_entry::takeActions()
@@ -607,8 +770,8 @@
 {
     const auto now = m_member.now();
     for (auto &[incarnation, agent] : m_pool.agents()) {
-        const auto interval = agent.outstanding.empty() ? m_options.limits.idlePulse
-                                                        : m_options.limits.busyPulse;
+        const auto interval =
+                agent.outstanding.empty() ? m_options.limits.idlePulse : m_options.limits.busyPulse;
         const auto draft = m_drafts.find(incarnation);
         const bool due = now - agent.lastPulse >= interval;
         if (!due && draft == m_drafts.end()) {
@@ -672,8 +835,7 @@
 bool dispatch_entry::ready() const
 {
     return m_member.config().version != 0 && !draining() &&
-           std::ranges::any_of(m_pool.agents(),
-                               [&](const auto &agent) { return m_pool.usable(agent.second); });
+           m_member.now() - m_lastUsable < m_options.limits.targetGrace;
 }
 
 std::optional<batch_job_state> dispatch_entry::stateOf(batch_job_id id) const
--- a/src/dispatch/fleet_member.cpp
+++ b/src/dispatch/fleet_member.cpp
@@ -8,10 +8,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration helloInterval = 500ms;  ///< to a contact that does not answer
-constexpr duration pullInterval = 300ms;   ///< between requests for a peer's desired state
-constexpr duration contactLimit = 1s;      ///< a peer heard within this time needs no hello
-constexpr duration forgetLimit = 10s;      ///< a peer without a message for this long is forgotten
+constexpr duration helloInterval = 500ms; ///< to a contact that does not answer
+constexpr duration pullInterval = 300ms;  ///< between requests for a peer's desired state
+constexpr duration contactLimit = 1s;     ///< a peer heard within this time needs no hello
+constexpr duration forgetLimit = 10s;     ///< a peer without a message for this long is forgotten
 constexpr std::size_t maxContacts = 64;
 
 } // namespace
@@ -91,7 +91,8 @@
     const auto fresh = [&](const link *peer) {
         return peer->endpoint == endpoint && m_links.alive(peer->incarnation, contactLimit);
     };
-    return endpoint == self().endpoint || std::ranges::any_of(m_links.peers(wire::ROLE_ENTRY), fresh) ||
+    return endpoint == self().endpoint ||
+           std::ranges::any_of(m_links.peers(wire::ROLE_ENTRY), fresh) ||
            std::ranges::any_of(m_links.peers(wire::ROLE_AGENT), fresh);
 }
 
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -77,8 +77,7 @@
     m_revision = std::max(m_revision, reply.revision);
     m_listing = !m_watches;
     if (!m_watches) {
-        m_nextCall =
-                m_clock.now() + (m_soon ? m_limits.disconnectedPoll : m_limits.connectedPoll);
+        m_nextCall = m_clock.now() + (m_soon ? m_limits.disconnectedPoll : m_limits.connectedPoll);
     }
     return changed;
 }
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -108,7 +108,8 @@
 {
     const auto now = m_clock.now();
     return m_target && m_cleared && !m_left && m_target->phase == target_phase::serving &&
-           now >= m_unhealthyUntil && m_lastListing && now - *m_lastListing <= m_limits.silenceLimit;
+           now >= m_unhealthyUntil && m_lastListing &&
+           now - *m_lastListing <= m_limits.silenceLimit;
 }
 
 call_header target_session::header(call_kind kind, const run_ref &ref, duration timeout, bool waits)
@@ -123,7 +124,7 @@
     const auto now = m_clock.now();
     m_runs.emplace(ref, held_run{demand, run_state::starting, m_fence, now, now, false, {}});
     m_committed += demand;
-    m_calls.emplace_back(start_run{header(call_kind::start, ref, m_limits.callTimeout), ref, spec,
+    m_calls.emplace_back(start_run{header(call_kind::start, ref, m_limits.startTimeout), ref, spec,
                                    newLeaseEnd(), m_fence});
 }
 
@@ -153,6 +154,12 @@
     return first != m_runs.end() && first->first.task == task;
 }
 
+duration target_session::runningTime(const run_ref &ref) const
+{
+    const auto found = m_runs.find(ref);
+    return found == m_runs.end() ? duration{} : m_clock.now() - found->second.started;
+}
+
 std::int64_t target_session::targetClock() const
 {
     const auto elapsed = toMilliseconds(m_clock.now() - m_clockSampled);
@@ -183,8 +190,8 @@
 {
     const auto wait = waits ? m_limits.listWait : duration{};
     const auto timeout = wait + m_limits.callTimeout;
-    auto call = list_runs{
-            header(call_kind::list, {}, timeout, waits), m_fence, m_endsSeen, std::nullopt, wait};
+    auto call = list_runs{header(call_kind::list, {}, timeout, waits), m_fence, m_endsSeen,
+                          std::nullopt, wait};
     // A lease that is not extended ends by itself, which tells the fate of the runs of a target
     // that no longer answers.
     if (m_clockSample && m_cleared && m_listFailures < trustedFailures) {
@@ -206,8 +213,8 @@
         return;
     }
     const auto now = m_clock.now();
-    const bool waiting = std::ranges::any_of(
-            m_pending, [](const auto &call) { return call.second.waits; });
+    const bool waiting =
+            std::ranges::any_of(m_pending, [](const auto &call) { return call.second.waits; });
     if (!waiting && now >= m_nextList) {
         // Nothing to wait for before the target is known to be free of others' runs.
         sendList(m_cleared && m_listFailures == 0);
@@ -362,8 +369,7 @@
     if (!m_cleared && call.fence == m_fence &&
         std::ranges::none_of(running, [&](const auto &ref) { return !m_runs.contains(ref); })) {
         m_cleared = true;
-        log("target_cleared",
-            {{"target", m_target->life.id}, {"fence", std::to_string(m_fence)}});
+        log("target_cleared", {{"target", m_target->life.id}, {"fence", std::to_string(m_fence)}});
     }
 }
 
