--- a/include/bamboohead/dispatch/batch_job.hpp
+++ b/include/bamboohead/dispatch/batch_job.hpp
@@ -57,6 +57,7 @@
     std::vector<batch_task_record> tasks;
     std::vector<std::uint32_t> waiting; ///< indices of tasks to start, the next one last
     std::uint32_t done = 0;
+    duration doneTime{}; ///< sum of the run times of the tasks that are done
 };
 
 /// @brief Declared run time of the longest chain of steps.
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -138,8 +138,10 @@
     void updateView(agent_view &agent, const wire::DispatchReport &report);
     void reconcile(agent_view &agent, const wire::DispatchReport &report);
     void runEnded(agent_view &agent, const wire::RunEnd &end);
-    void observeRunTime(agent_view &agent, const job_record &job, const run_ref &ref,
+    void observeRunTime(agent_view &agent, job_record &job, const run_ref &ref,
                         const outstanding_run &run, duration runTime);
+    [[nodiscard]] duration ordinaryTime(const job_record &job, const run_ref &ref,
+                                        const outstanding_run &run) const;
     void watchRun(agent_view &agent, const run_ref &ref, outstanding_run &run, duration runTime);
     void runLost(const run_ref &ref, incarnation_id agent, std::string_view why);
     void taskDone(job_record &job, const run_ref &ref);
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -19,6 +19,9 @@
 /// multiple of its expected time: less than starting again would take.
 constexpr double replacedSlowness = 2.0;
 constexpr int replacedAfter = 3;
+/// Declared run times were seen to be up to this far below the real ones.
+constexpr int declaredMarginPercent = 150;
+constexpr int wholePercent = 100;
 /// An entry without observations counts on one part in this many of its share of the targets.
 constexpr std::uint64_t assumedShare = 2;
 constexpr duration membersInterval = 2s; ///< between lists of entries sent to an agent
@@ -204,14 +207,31 @@
     removeIfOver(ref.task.job);
 }
 
-void dispatch_entry::observeRunTime(agent_view &agent, const job_record &job, const run_ref &ref,
+/// What a run takes on an ordinary target: what its siblings took, which are alike. Declared times
+/// are rough, so they count only before a sibling has ended, and with a margin.
+duration dispatch_entry::ordinaryTime(const job_record &job, const run_ref &ref,
+                                      const outstanding_run &run) const
+{
+    const auto &step = job.steps.at(ref.task.step);
+    if (step.done > 0) {
+        return step.doneTime / step.done;
+    }
+    return run.expected * declaredMarginPercent / wholePercent;
+}
+
+void dispatch_entry::observeRunTime(agent_view &agent, job_record &job, const run_ref &ref,
                                     const outstanding_run &run, duration runTime)
 {
     m_pool.taskEnded(agent.incarnation, ref.task.job, false);
-    agent.pace.ended(run.expected, runTime, m_member.now());
+    auto &step = job.steps.at(ref.task.step);
+    const auto reference = step.done > 0 ? step.doneTime / step.done : run.expected;
+    agent.pace.ended(reference, runTime, m_member.now());
     // A slow target tells nothing about the declared times.
     if (agent.pace.slowness(m_member.now()) < replacedSlowness) {
         m_times.observe(job.route.name, job.job.steps.at(ref.task.step).estimate, runTime);
+        step.doneTime += runTime;
+    } else {
+        step.doneTime += reference;
     }
 }
 
@@ -219,10 +239,13 @@
 void dispatch_entry::watchRun(agent_view &agent, const run_ref &ref, outstanding_run &run,
                               duration runTime)
 {
-    agent.pace.overdue(run.expected, runTime, m_member.now());
     const auto found = m_jobs.find(ref.task.job);
-    if (run.stopping || found == m_jobs.end() || found->second.ending ||
-        runTime < run.expected * replacedAfter ||
+    if (run.stopping || found == m_jobs.end() || found->second.ending) {
+        return;
+    }
+    const auto ordinary = ordinaryTime(found->second, ref, run);
+    agent.pace.overdue(ordinary, runTime, m_member.now());
+    if (runTime < ordinary * replacedAfter ||
         agent.pace.slowness(m_member.now()) < replacedSlowness) {
         return;
     }
@@ -237,7 +260,7 @@
     m_member.log("run_replaced", {{"run", toText(ref)},
                                   {"agent", toText(agent.incarnation)},
                                   {"run_ms", std::to_string(toMilliseconds(runTime))},
-                                  {"expected_ms", std::to_string(toMilliseconds(run.expected))}});
+                                  {"ordinary_ms", std::to_string(toMilliseconds(ordinary))}});
 }
 
 void dispatch_entry::runLost(const run_ref &ref, incarnation_id agent, std::string_view why)
@@ -262,9 +285,12 @@
     }
     task.state = batch_task_state::done;
     ++step.done;
+    if (job.ending) {
+        return;
+    }
     const bool complete = std::ranges::all_of(
             job.steps, [](const auto &each) { return each.done == each.tasks.size(); });
-    if (complete && !job.endState) {
+    if (complete) {
         endJob(job, batch_job_state::succeeded, error_kind::none);
     } else if (step.done == step.tasks.size()) {
         enqueue(job); // later steps may start
