--- /dev/null
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -0,0 +1,554 @@
+#include "dispatch/fleet_simulation.hpp"
+
+#include <algorithm>
+#include <iostream>
+
+namespace bamboohead::dispatch_test {
+
+namespace {
+
+constexpr duration tickLength = 10ms;
+constexpr duration reportInterval = 1'500ms;
+constexpr duration resendAfter = 1'300ms; ///< the platform's callers send a lost job again
+constexpr resources targetCapacity{32'000, 65'536, 0};
+
+dispatch_route quoteRoute()
+{
+    dispatch_route route;
+    route.name = "quotes";
+    route.host = "desk.example";
+    route.prefix = "/quotes/";
+    route.service = "quotes";
+    route.maxAttempts = 3;
+    route.stretch = 10;
+    route.targetLatency = 5s;
+    return route;
+}
+
+} // namespace
+
+struct fleet_simulation::process
+{
+    std::string endpoint;
+    std::string zone;
+    std::size_t target = 0;
+    std::unique_ptr<dispatch_entry> entry;
+    std::unique_ptr<dispatch_agent> agent;
+    time_point frozenUntil;
+    std::vector<std::function<void()>> inbox; ///< inputs that wait for the process to run
+    time_point nextReport;
+    bool isEntry = false;
+
+    [[nodiscard]] bool alive() const { return entry != nullptr || agent != nullptr; }
+};
+
+fleet_simulation::fleet_simulation(options chosen)
+    : m_options{chosen}
+    , m_random{chosen.seed}
+{
+    m_config.revision = 1;
+    m_config.version = 1;
+    m_config.routes = {quoteRoute()};
+    m_config.services = {"quotes"};
+    for (unsigned number = 0; number < chosen.agents; ++number) {
+        m_targets.push_back(std::make_unique<fake_target>(
+                "i-" + std::to_string(number), targetCapacity,
+                [this](const run_ref &ref) {
+                    const auto &step = m_jobs.at(ref.task.job).job.steps.at(ref.task.step);
+                    return task_plan{step.demand, step.estimate, false};
+                },
+                now()));
+        auto *const target = m_targets.back().get();
+        target->onStart = [this, target](const run_ref &ref) { runStarted(ref, *target); };
+        target->onRemoved = [this](const run_ref &ref, run_end_kind kind) {
+            runRemoved(ref, kind);
+        };
+        target->clockRate = 0.98 + 0.01 * static_cast<double>(number % 4);
+    }
+    for (unsigned number = 0; number < chosen.entries; ++number) {
+        addEntry(number);
+    }
+    for (unsigned number = 0; number < chosen.agents; ++number) {
+        addAgent(number);
+    }
+}
+
+fleet_simulation::~fleet_simulation() = default;
+
+// Processes
+
+std::string fleet_simulation::entryName(unsigned number) const
+{
+    return "entry-" + std::to_string(number);
+}
+
+std::string fleet_simulation::agentName(unsigned number) const
+{
+    return "agent-" + std::to_string(number);
+}
+
+void fleet_simulation::addEntry(unsigned number)
+{
+    auto added = std::make_unique<process>();
+    added->endpoint = entryName(number);
+    added->zone = "zone-" + std::to_string(number % 3);
+    added->isEntry = true;
+    startProcess(*added);
+    m_processes.emplace(added->endpoint, std::move(added));
+}
+
+void fleet_simulation::addAgent(unsigned number)
+{
+    auto added = std::make_unique<process>();
+    added->endpoint = agentName(number);
+    added->zone = "zone-" + std::to_string(number % 3);
+    added->target = number;
+    startProcess(*added);
+    m_processes.emplace(added->endpoint, std::move(added));
+}
+
+void fleet_simulation::startProcess(process &subject)
+{
+    const process_identity self{incarnation_id{++m_lastIncarnation}, subject.endpoint,
+                                subject.isEntry ? wire::ROLE_ENTRY : wire::ROLE_AGENT,
+                                subject.zone};
+    std::vector<std::string> contacts;
+    for (unsigned number = 0; number < m_options.entries; ++number) {
+        contacts.push_back(entryName(number));
+    }
+    subject.inbox.clear();
+    if (subject.isEntry) {
+        dispatch_entry_options made;
+        made.self = self;
+        made.contacts = contacts;
+        made.seed = m_random();
+        made.limits = m_options.entryLimits;
+        subject.entry = std::make_unique<dispatch_entry>(made, m_clock);
+        subject.entry->configRead(m_config);
+    } else {
+        dispatch_agent_options made;
+        made.self = self;
+        made.contacts = contacts;
+        made.firstFence = m_lastFence += random(50);
+        made.limits = m_options.agentLimits;
+        made.target = m_options.targetLimits;
+        subject.agent = std::make_unique<dispatch_agent>(made, m_clock);
+        subject.nextReport = now() + std::chrono::milliseconds{random(1'500)};
+    }
+}
+
+fake_target &fleet_simulation::targetOf(unsigned number)
+{
+    return *m_targets.at(number);
+}
+
+dispatch_entry &fleet_simulation::entryAt(unsigned number)
+{
+    return *m_processes.at(entryName(number))->entry;
+}
+
+dispatch_agent &fleet_simulation::agentAt(unsigned number)
+{
+    return *m_processes.at(agentName(number))->agent;
+}
+
+// Time
+
+void fleet_simulation::at(time_point when, std::function<void()> action)
+{
+    m_events.emplace(when, std::move(action));
+}
+
+void fleet_simulation::runFor(duration length)
+{
+    const auto until = now() + length;
+    while (now() < until) {
+        step(tickLength);
+    }
+}
+
+void fleet_simulation::step(duration length)
+{
+    const auto until = now() + length;
+    while (!m_events.empty() && m_events.begin()->first <= until) {
+        const auto next = m_events.extract(m_events.begin());
+        m_clock.advance(std::max(duration{}, next.key() - now()));
+        next.mapped()();
+    }
+    m_clock.advance(until - now());
+    for (auto &target : m_targets) {
+        target->advance(now());
+        if (!target->used().fitsIn(target->capacity())) {
+            violated("a target is overbooked");
+        }
+    }
+    for (auto &[endpoint, subject] : m_processes) {
+        if (!subject->alive() || now() < subject->frozenUntil) {
+            continue;
+        }
+        if (subject->agent && now() >= subject->nextReport) {
+            subject->nextReport = now() + reportInterval;
+            if (auto &target = *m_targets[subject->target]; target.up()) {
+                subject->agent->targetReported(target.report(now()));
+            }
+        }
+        for (const auto &input : std::exchange(subject->inbox, {})) {
+            input();
+        }
+        if (subject->entry) {
+            subject->entry->tick();
+        } else {
+            subject->agent->tick();
+        }
+        serve(*subject);
+    }
+}
+
+void fleet_simulation::serve(process &subject)
+{
+    auto actions = subject.entry ? subject.entry->takeActions() : subject.agent->takeActions();
+    for (auto &action : actions) {
+        perform(subject, action);
+    }
+}
+
+void fleet_simulation::perform(process &subject, dispatch_action &action)
+{
+    if (const auto *const message = std::get_if<send_message>(&action)) {
+        sendMessage(subject, *message);
+    } else if (const auto *const call = std::get_if<target_call>(&action)) {
+        sendCall(subject, *call);
+    } else if (const auto *const reply = std::get_if<job_reply>(&action)) {
+        answered(*reply);
+    } else if (const auto *const event = std::get_if<log_event>(&action)) {
+        trace(subject.endpoint, *event);
+    } else if (std::holds_alternative<shutdown_complete>(action)) {
+        at(now(), [this, &subject] { lostEntry(subject); });
+    }
+}
+
+// Network
+
+bool fleet_simulation::percent(unsigned chance)
+{
+    return chance > 0 && random(100) < chance;
+}
+
+unsigned fleet_simulation::random(unsigned below)
+{
+    return std::uniform_int_distribution<unsigned>{0, below - 1}(m_random);
+}
+
+bool fleet_simulation::isCut(const std::string &from, const std::string &to) const
+{
+    const auto found = m_cuts.find({from, to});
+    return found != m_cuts.end() && now() < found->second;
+}
+
+void fleet_simulation::sendMessage(process &from, const send_message &message)
+{
+    if (isCut(from.endpoint, message.endpoint) || percent(faults.messagesLost)) {
+        return;
+    }
+    const auto delay = std::chrono::microseconds{500 + random(1'500)};
+    at(now() + delay, [this, message] {
+        const auto found = m_processes.find(message.endpoint);
+        if (found == m_processes.end() || !found->second->alive()) {
+            return;
+        }
+        auto &to = *found->second;
+        to.inbox.emplace_back([&to, envelope = message.envelope] {
+            if (to.entry) {
+                to.entry->receive(envelope);
+            } else if (to.agent) {
+                to.agent->receive(envelope);
+            }
+        });
+    });
+}
+
+void fleet_simulation::sendCall(process &from, const target_call &call)
+{
+    const auto &header = std::visit(
+            [](const auto &made) -> const call_header & { return made.header; }, call);
+    auto &target = *m_targets[from.target];
+    const auto *const caller = from.agent.get();
+    const auto reply = [this, &from, caller](const target_reply &made, duration delay) {
+        at(now() + delay, [&from, caller, made] {
+            from.inbox.emplace_back([&from, caller, made] {
+                if (from.agent.get() == caller) {
+                    from.agent->callEnded(made);
+                }
+            });
+        });
+    };
+    const target_reply unanswered{header.id, call_status::unanswered, call_refusal::none, {}, {}};
+    if (percent(faults.startsUnanswered)) {
+        reply(unanswered, header.timeout);
+        if (percent(70)) {
+            at(now() + 2s + std::chrono::milliseconds{random(10'000)},
+               [this, &target, call] { (void)target.call(call, now()); });
+        }
+        return;
+    }
+    at(now() + 300us, [this, &target, call, reply, unanswered, timeout = header.timeout] {
+        const auto made = target.call(call, now());
+        const bool lost = percent(faults.repliesLost);
+        reply(lost ? unanswered : made, lost ? timeout : 300us);
+    });
+}
+
+// Faults
+
+void fleet_simulation::killEntry(unsigned number, duration downFor)
+{
+    trace(entryName(number), {"killed", {}});
+    auto &subject = *m_processes.at(entryName(number));
+    lostEntry(subject);
+    at(now() + downFor, [this, &subject] { startProcess(subject); });
+}
+
+void fleet_simulation::killAgent(unsigned number, duration downFor)
+{
+    trace(agentName(number), {"killed", {}});
+    auto &subject = *m_processes.at(agentName(number));
+    subject.agent.reset();
+    at(now() + downFor, [this, &subject] { startProcess(subject); });
+}
+
+void fleet_simulation::freeze(const std::string &endpoint, duration length)
+{
+    trace(endpoint, {"frozen", {{"us", std::to_string(length.count())}}});
+    m_processes.at(endpoint)->frozenUntil = now() + length;
+}
+
+void fleet_simulation::cut(const std::string &first, const std::string &second, duration length)
+{
+    cutOneWay(first, second, length);
+    cutOneWay(second, first, length);
+}
+
+void fleet_simulation::cutOneWay(const std::string &from, const std::string &to, duration length)
+{
+    trace(from, {"cut", {{"to", to}, {"us", std::to_string(length.count())}}});
+    m_cuts[{from, to}] = now() + length;
+}
+
+void fleet_simulation::crashTarget(unsigned number, duration downFor, bool sameId)
+{
+    auto &target = *m_targets.at(number);
+    trace(agentName(number), {"target_crashed", {{"us", std::to_string(downFor.count())}}});
+    target.crash(now());
+    const auto id = "i-" + std::to_string(number) + (sameId ? "" : "-" + std::to_string(m_lastLife));
+    at(now() + downFor, [this, &target, id] { target.restart(id, ++m_lastLife, now()); });
+}
+
+void fleet_simulation::setConfig(const desired_state &state)
+{
+    m_config = state;
+    for (auto &[endpoint, subject] : m_processes) {
+        if (subject->entry) {
+            subject->entry->configRead(state);
+        }
+    }
+}
+
+// Callers
+
+void fleet_simulation::submit(unsigned tasks, duration runTime, duration patience)
+{
+    followed_job made;
+    made.route = quoteRoute();
+    made.job.id = batch_job_id{++m_lastId};
+    made.job.spec = "spec";
+    made.job.bestEffort = true;
+    made.job.patience = patience;
+    batch_step work;
+    work.count = tasks;
+    work.demand = {3'000, 64, 0};
+    work.estimate = runTime;
+    made.job.steps.push_back(work);
+    const auto id = made.job.id;
+    m_jobs.emplace(id, std::move(made));
+    attempt(id);
+}
+
+void fleet_simulation::attempt(batch_job_id id)
+{
+    auto &job = m_jobs.at(id);
+    std::vector<process *> entries;
+    for (auto &[endpoint, subject] : m_processes) {
+        if (subject->entry) {
+            entries.push_back(subject.get());
+        }
+    }
+    if (entries.empty()) {
+        callAgain(id);
+        return;
+    }
+    auto &chosen = *entries[random(static_cast<unsigned>(entries.size()))];
+    const caller_request request{++m_lastRequest};
+    m_requests.emplace(request, std::pair{id, chosen.endpoint});
+    ++job.attempts;
+    job.open = true;
+    const auto *const receiver = chosen.entry.get();
+    chosen.inbox.emplace_back([this, &chosen, receiver, request, id] {
+        if (chosen.entry.get() == receiver && m_requests.contains(request)) {
+            chosen.entry->submit(request, m_jobs.at(id).route, m_jobs.at(id).job);
+        }
+    });
+    at(now() + job.job.patience, [this, request, id] {
+        const auto found = m_requests.find(request);
+        if (found == m_requests.end()) {
+            return;
+        }
+        auto &entry = *m_processes.at(found->second.second);
+        m_requests.erase(found);
+        entry.inbox.emplace_back([&entry, request] {
+            if (entry.entry) {
+                entry.entry->callerGone(request);
+            }
+        });
+        callAgain(id);
+    });
+}
+
+void fleet_simulation::callAgain(batch_job_id id)
+{
+    auto &job = m_jobs.at(id);
+    job.open = false;
+    if (!job.gaveUp && job.attempts < 5) {
+        at(now() + resendAfter, [this, id] {
+            if (!m_jobs.at(id).gaveUp) {
+                attempt(id);
+            }
+        });
+    }
+}
+
+void fleet_simulation::callersLeave()
+{
+    for (auto &[id, job] : m_jobs) {
+        job.gaveUp = job.gaveUp || !job.answer;
+        job.gaveUpAt = now();
+    }
+    for (const auto &[request, target] : std::exchange(m_requests, {})) {
+        auto &entry = *m_processes.at(target.second);
+        entry.inbox.emplace_back([&entry, gone = request] {
+            if (entry.entry) {
+                entry.entry->callerGone(gone);
+            }
+        });
+    }
+}
+
+void fleet_simulation::answered(const job_reply &reply)
+{
+    const auto found = m_requests.find(reply.request);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const auto id = found->second.first;
+    m_requests.erase(found);
+    auto &job = m_jobs.at(id);
+    job.open = false;
+    if (reply.error == error_kind::deadline_exceeded) {
+        callAgain(id);
+        return;
+    }
+    if (reply.error != error_kind::none) {
+        ++job.refusals;
+        job.gaveUp = true; // the platform's callers do not retry a refusal
+        job.gaveUpAt = now();
+        if (job.refusals == job.attempts && m_startedJobs.contains(id)) {
+            violated("a job was refused as not run after a task had started");
+        }
+        return;
+    }
+    job.answer = reply.state;
+    if (reply.state == batch_job_state::succeeded) {
+        for (std::uint32_t index = 0; index < job.job.steps.front().count; ++index) {
+            if (!m_done.contains({id, 0, index})) {
+                violated("a job succeeded without all its tasks");
+            }
+        }
+    }
+}
+
+/// The connections of an entry's callers break with it.
+void fleet_simulation::lostEntry(process &subject)
+{
+    subject.entry.reset();
+    subject.agent.reset();
+    std::vector<batch_job_id> lost;
+    std::erase_if(m_requests, [&](const auto &request) {
+        const bool broken = request.second.second == subject.endpoint;
+        if (broken) {
+            lost.push_back(request.second.first);
+        }
+        return broken;
+    });
+    for (const auto id : lost) {
+        callAgain(id);
+    }
+}
+
+// Checks
+
+void fleet_simulation::trace(const std::string &who, const log_event &event) const
+{
+    if (!m_options.trace) {
+        return;
+    }
+    std::cerr << std::chrono::duration<double>{now().time_since_epoch()}.count() << " " << who
+              << " " << event.name;
+    for (const auto &[name, value] : event.fields) {
+        std::cerr << " " << name << "=" << value;
+    }
+    std::cerr << "\n";
+}
+
+void fleet_simulation::violated(const std::string &what)
+{
+    m_violations.push_back(
+            std::to_string(std::chrono::duration<double>{now().time_since_epoch()}.count()) + " " +
+            what);
+}
+
+void fleet_simulation::runStarted(const run_ref &ref, fake_target &target)
+{
+    ++m_starts;
+    m_startedJobs.insert(ref.task.job);
+    if (++m_running[ref.task] > 1) {
+        violated("task " + toText(ref) + " has two runs at the same time");
+    }
+    if (!target.used().fitsIn(target.capacity())) {
+        violated("a start overbooks its target");
+    }
+    const auto &job = m_jobs.at(ref.task.job);
+    if (job.refusals > 0 && job.refusals == job.attempts) {
+        violated("a task of a refused job starts");
+    }
+}
+
+void fleet_simulation::runRemoved(const run_ref &ref, run_end_kind kind)
+{
+    const auto found = m_running.find(ref.task);
+    if (found != m_running.end() && --found->second == 0) {
+        m_running.erase(found);
+    }
+    if (kind == run_end_kind::done) {
+        m_done.insert(ref.task);
+    }
+}
+
+std::size_t fleet_simulation::runningTasks() const
+{
+    std::size_t count = 0;
+    for (const auto &target : m_targets) {
+        count += target->running().size();
+    }
+    return count;
+}
+
+} // namespace bamboohead::dispatch_test
--- /dev/null
+++ b/tests/load_policy_test.cpp
@@ -0,0 +1,64 @@
+#include "bamboohead/dispatch/load_policy.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+TEST_CASE("declared run times are corrected by what a route's tasks really take")
+{
+    run_time_model model;
+    CHECK(model.expected("quotes", 100ms) == 100ms);
+    for (int end = 0; end < 300; ++end) {
+        model.observe("quotes", 100ms, 140ms);
+    }
+    CHECK(model.expected("quotes", 100ms) > 138ms);
+    CHECK(model.expected("quotes", 100ms) < 142ms);
+    CHECK(model.expected("holds", 100ms) == 100ms);
+    model.observe("quotes", 0ms, 50ms); // nothing declared, nothing to learn
+    CHECK(model.expected("quotes", 200ms) > 270ms);
+}
+
+TEST_CASE("a target is slow as soon as a task is overdue, and gets another chance after a while")
+{
+    // Pattern: some targets run six times slower for some seconds; ends come too late to tell.
+    const time_point start{100s};
+    target_pace pace;
+    CHECK(pace.slowness(start) == doctest::Approx(1.0));
+    pace.overdue(100ms, 200ms, start); // within what declared times differ by
+    CHECK(pace.slowness(start) == doctest::Approx(1.0));
+    pace.overdue(100ms, 300ms, start);
+    CHECK(pace.slowness(start) == doctest::Approx(3.0));
+    CHECK(pace.slowness(start + 9s) < 1.3);
+}
+
+TEST_CASE("a target's slowness follows the ends of its tasks")
+{
+    const time_point start{100s};
+    target_pace pace;
+    for (int end = 0; end < 30; ++end) {
+        pace.ended(100ms, 400ms, start);
+    }
+    CHECK(pace.slowness(start) > 3.8);
+    for (int end = 0; end < 30; ++end) {
+        pace.ended(100ms, 100ms, start);
+    }
+    CHECK(pace.slowness(start) < 1.1);
+}
+
+TEST_CASE("the wait for a backlog follows the rate of the last second")
+{
+    const time_point start{100s};
+    start_rate rate;
+    CHECK(rate.timeFor(5'000, 1'000, start) == 5s); // the assumed rate
+    for (int slot = 0; slot < 10; ++slot) {
+        rate.started(1'000, start + slot * 100ms);
+    }
+    CHECK(rate.timeFor(5'000, 1'000, start + 900ms) == 500ms);
+    CHECK(rate.timeFor(5'000, 1'000, start + 10s) == 5s); // old starts do not count
+}
+
+TEST_CASE("work is cores times run time times tasks")
+{
+    CHECK(workOf(3'000, 500ms, 4) == 6'000);
+}
--- /dev/null
+++ b/tests/store_follower_test.cpp
@@ -0,0 +1,242 @@
+#include "bamboohead/dispatch/store_follower.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers the calls of a follower by hand.
+class follower_fixture
+{
+public:
+    explicit follower_fixture(store_follower_options options)
+        : follower{std::move(options), time}
+    {
+        take();
+    }
+
+    void pass(duration length)
+    {
+        time.advance(length);
+        take();
+    }
+
+    void take()
+    {
+        follower.tick();
+        for (auto &call : follower.takeCalls()) {
+            calls.push_back(std::move(call));
+        }
+    }
+
+    /// The newest pending call of a type; it no longer counts as pending.
+    template <typename Call>
+    std::optional<Call> next()
+    {
+        const auto found = std::find_if(calls.begin(), calls.end(), [](const auto &call) {
+            return std::holds_alternative<Call>(call);
+        });
+        if (found == calls.end()) {
+            return std::nullopt;
+        }
+        auto call = std::get<Call>(*found);
+        calls.erase(found);
+        return call;
+    }
+
+    std::optional<list_area> nextList(store_area area)
+    {
+        const auto found = std::find_if(calls.begin(), calls.end(), [area](const auto &call) {
+            const auto *const list = std::get_if<list_area>(&call);
+            return list != nullptr && list->area == area;
+        });
+        if (found == calls.end()) {
+            return std::nullopt;
+        }
+        auto call = std::get<list_area>(*found);
+        calls.erase(found);
+        return call;
+    }
+
+    void reply(call_id id, store_status status, std::vector<store_item> items = {},
+               std::uint64_t revision = 0, bool more = false)
+    {
+        store_reply made;
+        made.id = id;
+        made.status = status;
+        made.items = std::move(items);
+        made.revision = revision;
+        made.more = more;
+        made.lease = 77;
+        follower.handle(made);
+        take();
+    }
+
+    manual_clock time;
+    store_follower follower;
+    std::vector<store_request> calls;
+};
+
+store_follower_options entryOptions()
+{
+    store_follower_options options;
+    options.followConfiguration = true;
+    options.watchMembers = true;
+    options.memberName = "00000000000000aa";
+    options.memberValue = "tcp://10.0.0.1:7720";
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("the configuration is listed page by page, then watched from its revision")
+{
+    follower_fixture fixture{entryOptions()};
+    auto list = fixture.nextList(store_area::configuration);
+    REQUIRE(list);
+    fixture.reply(list->header.id, store_status::ok, {{"op/a", "1", 5, false}}, 9, true);
+    CHECK_FALSE(fixture.follower.takeConfiguration());
+    list = fixture.nextList(store_area::configuration);
+    REQUIRE(list);
+    CHECK(list->after == "op/a");
+    fixture.reply(list->header.id, store_status::ok, {{"op/b", "2", 6, false}}, 9);
+    const auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.size() == 2);
+    CHECK(read->second == 9);
+    const auto watch = fixture.next<watch_area>();
+    REQUIRE(watch);
+    CHECK(watch->revision == 9);
+}
+
+TEST_CASE("a watch that returns without events does not skip the revisions it has not heard of")
+{
+    // Guards against missing a change that was made while watches heard nothing.
+    follower_fixture fixture{entryOptions()};
+    const auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, 9);
+    (void)fixture.follower.takeConfiguration();
+    auto watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::ok, {}, 20);
+    watch = fixture.next<watch_area>();
+    REQUIRE(watch);
+    CHECK(watch->revision == 9);
+    CHECK_FALSE(fixture.follower.takeConfiguration());
+}
+
+TEST_CASE("a removal seen by the watch removes the item")
+{
+    follower_fixture fixture{entryOptions()};
+    const auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/evacuate/graz", "{}", 5, false}}, 9);
+    (void)fixture.follower.takeConfiguration();
+    const auto watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::ok, {{"op/evacuate/graz", "", 10, true}}, 10);
+    const auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.empty());
+    CHECK(read->second == 10);
+}
+
+TEST_CASE("lost history makes the follower read the area again")
+{
+    follower_fixture fixture{entryOptions()};
+    const auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, 9);
+    const auto watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::gone);
+    CHECK(fixture.nextList(store_area::configuration));
+}
+
+TEST_CASE("failed calls are repeated with growing pauses, and the loss is told once")
+{
+    follower_fixture fixture{entryOptions()};
+    auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::unavailable);
+    const auto events = fixture.follower.takeEvents();
+    REQUIRE(events.size() == 1);
+    CHECK(events.front().name == "store_lost");
+    CHECK_FALSE(fixture.nextList(store_area::configuration));
+    fixture.pass(100ms);
+    list = fixture.nextList(store_area::configuration);
+    REQUIRE(list);
+    fixture.reply(list->header.id, store_status::unanswered);
+    CHECK(fixture.follower.takeEvents().empty());
+    fixture.pass(100ms);
+    CHECK_FALSE(fixture.nextList(store_area::configuration));
+    fixture.pass(100ms);
+    list = fixture.nextList(store_area::configuration);
+    REQUIRE(list);
+    fixture.reply(list->header.id, store_status::ok, {}, 3);
+    CHECK(fixture.follower.takeEvents().front().name == "store_regained");
+}
+
+TEST_CASE("an entry registers under a lease, renews it, and registers again when the lease ended")
+{
+    follower_fixture fixture{entryOptions()};
+    const auto grant = fixture.next<grant_lease>();
+    REQUIRE(grant);
+    fixture.reply(grant->header.id, store_status::ok);
+    const auto put = fixture.next<put_member>();
+    REQUIRE(put);
+    CHECK(put->lease == 77);
+    CHECK(put->value == "tcp://10.0.0.1:7720");
+    fixture.reply(put->header.id, store_status::ok);
+    CHECK_FALSE(fixture.next<renew_lease>());
+    fixture.pass(1'500ms);
+    const auto renew = fixture.next<renew_lease>();
+    REQUIRE(renew);
+    fixture.reply(renew->header.id, store_status::gone);
+    CHECK(fixture.next<grant_lease>());
+}
+
+TEST_CASE("a key that vanished although its lease lives is written again")
+{
+    // Guards against staying undiscoverable after the store revoked keys without a word.
+    follower_fixture fixture{entryOptions()};
+    fixture.reply(fixture.next<grant_lease>()->header.id, store_status::ok);
+    fixture.reply(fixture.next<put_member>()->header.id, store_status::ok);
+    const store_item own{"members/aa", "tcp://10.0.0.1:7720", 4, false};
+    fixture.reply(fixture.nextList(store_area::members)->header.id, store_status::ok, {own}, 5);
+    CHECK(fixture.follower.takeMembers()->size() == 1);
+    CHECK_FALSE(fixture.next<grant_lease>());
+    fixture.reply(fixture.next<watch_area>()->header.id, store_status::ok,
+                  {{"members/aa", "", 6, true}}, 6);
+    CHECK(fixture.next<grant_lease>());
+}
+
+TEST_CASE("a process that does not watch the members reads them often only without contact")
+{
+    follower_fixture fixture{{}};
+    auto list = fixture.nextList(store_area::members);
+    REQUIRE(list);
+    CHECK(list->stale);
+    fixture.reply(list->header.id, store_status::ok, {{"members/a", "tcp://a:1", 4, false}}, 5);
+    CHECK(fixture.follower.takeMembers()->front() == "tcp://a:1");
+    fixture.pass(250ms);
+    list = fixture.nextList(store_area::members);
+    REQUIRE(list);
+    fixture.follower.connected(true);
+    fixture.reply(list->header.id, store_status::ok, {{"members/a", "tcp://a:1", 4, false}}, 5);
+    fixture.pass(1s);
+    CHECK_FALSE(fixture.nextList(store_area::members));
+    fixture.follower.connected(false);
+    fixture.pass(10ms);
+    CHECK(fixture.nextList(store_area::members));
+}
+
+TEST_CASE("a stopping process ends its lease")
+{
+    follower_fixture fixture{entryOptions()};
+    fixture.reply(fixture.next<grant_lease>()->header.id, store_status::ok);
+    fixture.reply(fixture.next<put_member>()->header.id, store_status::ok);
+    fixture.follower.withdraw();
+    fixture.take();
+    const auto end = fixture.next<end_lease>();
+    REQUIRE(end);
+    CHECK(end->lease == 77);
+}
