--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -109,6 +109,7 @@
         time_point confirmed;
         bool stopping = false;
         time_point stopSent;
+        bool earlierLife = false; ///< begun before the target's present lifetime was known
     };
 
     enum class call_kind : std::uint8_t { start, stop, list };
@@ -147,7 +148,6 @@
     std::optional<target_report> m_target;
     bool m_left = false;
     bool m_cleared = false;
-    bool m_voidOnClear = false; ///< the runs held belong to an earlier lifetime
     std::uint64_t m_fence;
     std::uint64_t m_fenceStep = 0; ///< last jump after a refusal
     bool m_fenceDue = false;       ///< a start without a reply has to be made void
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -81,8 +81,13 @@
     m_target = report;
     m_left = false;
     m_cleared = false;
-    m_voidOnClear = !m_runs.empty();
     ++m_fence;
+    // A start may have reached the new lifetime already, which has the same id. The first listing
+    // under the raised fence tells; what it does not show cannot start any more.
+    for (auto &[ref, run] : m_runs) {
+        run.state = run_state::unresolved;
+        run.earlierLife = true;
+    }
     m_endsSeen = 0;
     m_clockSample.reset();
     m_leaseEnd = 0;
@@ -358,12 +363,6 @@
     }
     const std::set<run_ref> running{listing.running.begin(), listing.running.end()};
     applyEnds(listing.ended);
-    if (m_voidOnClear && call.fence == m_fence) {
-        m_voidOnClear = false;
-        while (!m_runs.empty()) {
-            end(run_ref{m_runs.begin()->first}, session_end::kind::lost);
-        }
-    }
     resolveRuns(call, running);
     stopForeign(running);
     if (!m_cleared && call.fence == m_fence &&
@@ -406,8 +405,10 @@
             if (running.contains(ref)) {
                 run.state = run_state::running;
                 run.confirmed = m_clock.now();
+                run.earlierLife = false;
             } else if (call.fence > run.startFence) {
-                gone.emplace_back(ref, session_end::kind::not_started);
+                gone.emplace_back(ref, run.earlierLife ? session_end::kind::lost
+                                                       : session_end::kind::not_started);
             }
         } else if (run.state == run_state::running && !running.contains(ref) &&
                    call.sent > run.confirmed) {
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -216,6 +216,21 @@
     CHECK(fixture.session.ready());
 }
 
+TEST_CASE("a start that reached a new lifetime before the agent knew of it is not repeated")
+{
+    // Guards against telling such a run as lost, so that its task gets a second run elsewhere.
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(500ms);
+    CHECK(fixture.target.running().size() == 1);
+    CHECK(fixture.ends.empty());
+    CHECK(fixture.session.committed() == demand);
+    CHECK(fixture.session.ready());
+}
+
 TEST_CASE("a late report of an earlier lifetime is ignored")
 {
     session_fixture fixture;
