--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -37,8 +37,9 @@
     bool ready = false;
     bool cleared = false;
     resources capacity;
-    resources committed;             ///< all runs at the agent, as of its newest report
-    std::uint64_t ordersHandled = 0; ///< newest message of orders that `committed` includes
+    resources running; ///< all runs that have started there, as of the newest report
+    std::map<std::uint32_t, resources> queued; ///< all runs that wait there, by priority
+    std::uint64_t ordersHandled = 0; ///< newest message of orders that the report includes
     std::uint64_t ordersSent = 0;
     std::uint64_t endsSeen = 0;
     time_point lastPulse;
@@ -47,8 +48,9 @@
     time_point fullUntil; ///< refused an order for want of room
     target_pace pace;
 
-    /// @brief Demand of orders that the newest report does not include.
-    [[nodiscard]] resources unseen() const;
+    /// @brief Demand that a new run of the priority finds before it: what runs, what waits and is
+    ///        not less urgent, and orders that the newest report does not include.
+    [[nodiscard]] resources ahead(std::uint32_t priority) const;
 };
 
 /// @brief What a placement needs to know of a task.
@@ -58,6 +60,7 @@
     std::uint32_t step = 0;
     const batch_step *work = nullptr;
     std::string_view service;
+    std::uint32_t priority = 0;
     incarnation_id avoid = incarnation_id::none;
     double mostSlowness = 0; ///< slower targets would end the task too late
 };
--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -26,9 +26,10 @@
     duration idlePulse = std::chrono::milliseconds{500}; ///< to other entries
     /// The platform ends a process that was asked to stop after 6 s.
     duration drainLimit = std::chrono::milliseconds{5'000};
-    /// Demand that may wait for room, in percent of the capacity. It hides the round trip to the
-    /// entries: a task that ends is followed by one that is already here.
-    std::uint64_t queuePercent = 25;
+    /// Demand of a priority and those before it that may wait for room, in percent of the capacity.
+    /// It hides the round trip to the entries: a task that ends is followed by one that is already
+    /// here. Urgent runs find room in the queue even when it is full of others.
+    std::uint64_t queuePercent = 40;
 };
 
 /// @brief Construction options of a dispatch_agent.
@@ -100,7 +101,10 @@
     void accept(incarnation_id entry, const wire::RunOrder &order, const wire::RunTask &task,
                 bool fresh);
     [[nodiscard]] error_kind refusalOf(const run_ref &ref, const resources &demand,
-                                       bool fresh) const;
+                                       std::uint32_t priority, bool fresh) const;
+    [[nodiscard]] resources queuedUpTo(std::uint32_t priority) const;
+    void enqueue(const run_ref &ref, const held_run &run);
+    void dequeue(const held_run &run);
     void reconcile(incarnation_id entry, const wire::DispatchOrders &message);
     void stopRun(const run_ref &ref);
     void startQueued();
@@ -111,7 +115,6 @@
     void sendReports();
     void sendReport(incarnation_id entry, entry_link &link, bool whole);
     [[nodiscard]] bool hasRunsOf(incarnation_id entry) const;
-    [[nodiscard]] resources committed() const;
     [[nodiscard]] bool takesOrders() const;
 
     dispatch_agent_options m_options;
@@ -120,7 +123,7 @@
     std::map<incarnation_id, entry_link> m_entries;
     std::map<run_ref, held_run> m_runs;
     std::map<queue_key, run_ref> m_queue;
-    resources m_queued;
+    std::map<std::uint32_t, resources> m_queued; ///< demand by priority
     std::uint64_t m_arrivals = 0;
     bool m_readyReported = false;
     std::optional<time_point> m_stopSince;
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <tuple>
@@ -157,6 +158,7 @@
     [[nodiscard]] std::uint64_t waitingWork(const job_record &job) const;
     [[nodiscard]] placement_request requestFor(const job_record &job, std::uint32_t step,
                                                std::uint32_t index) const;
+    [[nodiscard]] duration backlog() const;
     void shedLateJobs();
     void resumeEnding(job_record &job, caller_request request);
     void enqueue(const job_record &job);
@@ -187,6 +189,9 @@
     std::map<incarnation_id, time_point> m_lastSync;
     run_time_model m_times;
     start_rate m_rate;
+    admission_share m_admission;
+    std::map<std::uint32_t, duration> m_meanRuns; ///< expected run time of orders, by priority
+    std::mt19937_64 m_random;
     time_point m_lastUsable; ///< an agent could get orders, or the process started
     bool m_dispatchDue = false;
     std::optional<time_point> m_stopSince;
--- a/include/bamboohead/dispatch/load_policy.hpp
+++ b/include/bamboohead/dispatch/load_policy.hpp
@@ -71,6 +71,27 @@
     std::int64_t m_newest = 0; ///< number of the newest slot since the clock's start
 };
 
+/// @brief Share of the jobs that an entry accepts, so that accepted ones can meet their objective.
+///
+/// Under more load than the targets carry, jobs of the lowest priority would wait until all of them
+/// miss their objective, and use the room of others all the same. The same share of each kind of
+/// job is refused at arrival instead, just enough to keep the backlog short.
+class admission_share
+{
+public:
+    /// @brief Adapts the share to the time that the targets need for all waiting work.
+    void update(duration backlog, time_point now);
+
+    /// @brief Whether a job is accepted.
+    /// @param draw Uniform random number from 0 to 1.
+    [[nodiscard]] bool accepts(double draw) const noexcept { return draw < m_share; }
+    [[nodiscard]] double share() const noexcept { return m_share; }
+
+private:
+    double m_share = 1.0;
+    time_point m_updated;
+};
+
 /// @brief Work of tasks: thousandths of a core times seconds.
 [[nodiscard]] std::uint64_t workOf(std::uint64_t cpuMillis, duration runTime, std::uint64_t tasks);
 
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -29,9 +29,12 @@
 
 } // namespace
 
-resources agent_view::unseen() const
+resources agent_view::ahead(std::uint32_t priority) const
 {
-    resources sum;
+    auto sum = running;
+    for (auto each = queued.begin(); each != queued.end() && each->first <= priority; ++each) {
+        sum += each->second;
+    }
     for (const auto &[ref, run] : outstanding) {
         if (run.orderNumber > ordersHandled) {
             sum += run.demand;
@@ -92,7 +95,7 @@
         const auto &agent = entry.second;
         return entry.first != request.avoid && fits(agent, request) &&
                agent.pace.slowness(m_member.now()) < ordinarySlowness &&
-               request.work->demand.fitsIn(agent.capacity - (agent.committed + agent.unseen()));
+               request.work->demand.fitsIn(agent.capacity - agent.ahead(request.priority));
     });
 }
 
@@ -111,7 +114,7 @@
         if (slowness > std::max(request.mostSlowness, ordinarySlowness)) {
             continue;
         }
-        const auto used = agent.committed + agent.unseen();
+        const auto used = agent.ahead(request.priority);
         const auto free = agent.capacity - used;
         const bool fitsNow = demand.fitsIn(free);
         if (fitsNow && incarnation != request.avoid && slowness < ordinarySlowness) {
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -62,7 +62,33 @@
     startQueued();
 }
 
-error_kind dispatch_agent::refusalOf(const run_ref &ref, const resources &demand, bool fresh) const
+resources dispatch_agent::queuedUpTo(std::uint32_t priority) const
+{
+    resources sum;
+    for (auto each = m_queued.begin(); each != m_queued.end() && each->first <= priority; ++each) {
+        sum += each->second;
+    }
+    return sum;
+}
+
+void dispatch_agent::enqueue(const run_ref &ref, const held_run &run)
+{
+    m_queue.emplace(run.key, ref);
+    m_queued[std::get<std::uint32_t>(run.key)] += run.demand;
+}
+
+void dispatch_agent::dequeue(const held_run &run)
+{
+    m_queue.erase(run.key);
+    const auto queued = m_queued.find(std::get<std::uint32_t>(run.key));
+    queued->second -= run.demand;
+    if (queued->second == resources{}) {
+        m_queued.erase(queued);
+    }
+}
+
+error_kind dispatch_agent::refusalOf(const run_ref &ref, const resources &demand,
+                                     std::uint32_t priority, bool fresh) const
 {
     if (!fresh) {
         return error_kind::order_stale;
@@ -86,7 +112,9 @@
     }
     room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
     room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
-    return (committed() + demand).fitsIn(room) ? error_kind::none : error_kind::no_room;
+    return (m_session.committed() + queuedUpTo(priority) + demand).fitsIn(room)
+                   ? error_kind::none
+                   : error_kind::no_room;
 }
 
 void dispatch_agent::acceptAll(incarnation_id entry, const wire::DispatchOrders &message,
@@ -107,15 +135,16 @@
         return;
     }
     const auto demand = fromWire(order.demand());
-    const auto refusal = refusalOf(ref, demand, fresh);
+    const auto refusal = refusalOf(ref, demand, order.priority(), fresh);
     held_run run;
     run.entry = entry;
     run.demand = demand;
     if (refusal != error_kind::none) {
-        m_member.log("order_refused", {{"run", toText(ref)},
-                                       {"entry", toText(entry)},
-                                       {"reason", std::string{answerFor(refusal).name}},
-                                       {"committed_cpu", std::to_string(committed().cpuMillis)}});
+        m_member.log("order_refused",
+                     {{"run", toText(ref)},
+                      {"entry", toText(entry)},
+                      {"reason", std::string{answerFor(refusal).name}},
+                      {"running_cpu", std::to_string(m_session.committed().cpuMillis)}});
         run.queued = false;
         m_runs.emplace(ref, std::move(run));
         endRun(ref, wire::RUN_OUTCOME_REFUSED, refusal, {});
@@ -124,8 +153,7 @@
     run.spec = order.spec();
     run.key = {order.priority(), ++m_arrivals};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
-    m_queue.emplace(run.key, ref);
-    m_queued += demand;
+    enqueue(ref, run);
     m_runs.emplace(ref, std::move(run));
 }
 
@@ -180,13 +208,14 @@
     for (const auto &[key, ref] : started) {
         auto &run = m_runs.at(ref);
         run.queued = false;
-        m_queue.erase(key);
-        m_queued -= run.demand;
+        dequeue(run);
         m_session.start(ref, run.spec, run.demand);
-        m_member.log("run_started", {{"run", toText(ref)},
-                                     {"entry", toText(run.entry)},
-                                     {"committed_cpu", std::to_string(committed().cpuMillis)},
-                                     {"config", std::to_string(m_member.config().revision)}});
+        m_member.log("run_started",
+                     {{"run", toText(ref)},
+                      {"entry", toText(run.entry)},
+                      {"running_cpu", std::to_string(m_session.committed().cpuMillis)},
+                      {"queued", std::to_string(m_queue.size())},
+                      {"config", std::to_string(m_member.config().revision)}});
     }
 }
 
@@ -252,8 +281,7 @@
         auto &run = found->second;
         if (end.refusal == start_refusal::retry && !run.stopping && m_member.now() < run.expires) {
             run.queued = true;
-            m_queue.emplace(run.key, end.ref);
-            m_queued += run.demand;
+            enqueue(end.ref, run);
             break;
         }
         const auto error = end.refusal == start_refusal::old_run   ? error_kind::order_void
@@ -271,8 +299,7 @@
     const auto found = m_runs.find(ref);
     const auto &run = found->second;
     if (run.queued) {
-        m_queue.erase(run.key);
-        m_queued -= run.demand;
+        dequeue(run);
     }
     auto &entry = m_entries[run.entry];
     wire::RunEnd end;
@@ -411,7 +438,12 @@
     report.set_ready(takesOrders());
     report.set_cleared(m_session.cleared());
     report.set_config_version(m_member.config().revision);
-    toWire(committed(), *report.mutable_committed());
+    toWire(m_session.committed(), *report.mutable_running());
+    for (const auto &[priority, demand] : m_queued) {
+        auto &queued = *report.add_queued();
+        queued.set_priority(priority);
+        toWire(demand, *queued.mutable_demand());
+    }
     if (const auto &target = m_session.target(); target && whole) {
         report.set_service(target->service);
         report.set_target(target->life.id);
@@ -428,11 +460,6 @@
     return std::ranges::any_of(m_runs, [&](const auto &run) { return run.second.entry == entry; });
 }
 
-resources dispatch_agent::committed() const
-{
-    return m_session.committed() + m_queued;
-}
-
 bool dispatch_agent::takesOrders() const
 {
     return m_session.ready() && !m_stopSince;
@@ -454,7 +481,8 @@
     root["config_revision"] = m_member.config().revision;
     root["ready"] = takesOrders();
     root["draining"] = m_stopSince.has_value();
-    root["committed_cpu_millis"] = committed().cpuMillis;
+    root["running_cpu_millis"] = m_session.committed().cpuMillis;
+    root["queued"] = m_queue.size();
     root["entries"] = m_entries.size();
     boost::json::array runs;
     for (const auto &[ref, run] : m_runs) {
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -24,7 +24,9 @@
 constexpr int wholePercent = 100;
 /// An entry without observations counts on one part in this many of its share of the targets.
 constexpr std::uint64_t assumedShare = 2;
-constexpr duration membersInterval = 2s; ///< between lists of entries sent to an agent
+constexpr duration unknownRunTime = 200ms; ///< of a priority that this entry has not ordered yet
+constexpr int meanRunWeight = 20;          ///< one order counts one part in this many in the mean
+constexpr duration membersInterval = 2s;   ///< between lists of entries sent to an agent
 
 std::uint32_t toMilliseconds(duration time)
 {
@@ -41,6 +43,7 @@
 {
     m_member.addContacts(m_options.contacts);
     m_lastUsable = clock.now();
+    m_random.seed(m_options.seed);
 }
 
 // Messages
@@ -92,7 +95,11 @@
     }
     agent.ready = report.ready() && (report.reconcile() || !agent.service.empty());
     agent.cleared = report.cleared();
-    agent.committed = fromWire(report.committed());
+    agent.running = fromWire(report.running());
+    agent.queued.clear();
+    for (const auto &queued : report.queued()) {
+        agent.queued[queued.priority()] += fromWire(queued.demand());
+    }
     agent.ordersHandled = std::max(agent.ordersHandled, report.orders_handled());
     if (report.has_capacity()) {
         agent.service = report.service();
@@ -423,7 +430,8 @@
     setTimes(record);
     const bool targets = m_pool.usableAgents(route.service) > 0;
     const auto wait = targets ? expectedWait(keyOf(record), record) : duration{};
-    if (record.received + wait > record.latestStart) {
+    const auto draw = std::uniform_real_distribution<double>{0, 1}(m_random);
+    if (!m_admission.accepts(draw) || record.received + wait > record.latestStart) {
         refuse(request, id, error_kind::overloaded, wait);
         return;
     }
@@ -473,6 +481,7 @@
                                  {"agents", std::to_string(m_pool.agents().size())},
                                  {"open_jobs", std::to_string(m_jobs.size())},
                                  {"waiting_jobs", std::to_string(m_queue.size())},
+                                 {"share", std::to_string(m_admission.share())},
                                  {"retry_ms", std::to_string(toMilliseconds(retryAfter))}});
     m_member.push(
             job_reply{request, batch_job_state::failed, why, std::max(retryAfter, shortRetry)});
@@ -624,6 +633,34 @@
     }
 }
 
+/// Time that the usable targets need for all work that waits, here and at the agents. The other
+/// entries are taken to hold as much as this one.
+duration dispatch_entry::backlog() const
+{
+    std::uint64_t work = 0;
+    for (const auto &key : m_queue) {
+        work += waitingWork(m_jobs.at(std::get<batch_job_id>(key)));
+    }
+    work *= m_member.links().peers(wire::ROLE_ENTRY).size() + 1;
+    std::uint64_t capacity = 0;
+    for (const auto &[incarnation, agent] : m_pool.agents()) {
+        if (!m_pool.usable(agent)) {
+            continue;
+        }
+        capacity += agent.capacity.cpuMillis;
+        for (const auto &[priority, queued] : agent.queued) {
+            const auto mean = m_meanRuns.find(priority);
+            const auto time = mean == m_meanRuns.end() ? unknownRunTime : mean->second;
+            work += workOf(queued.cpuMillis, time, 1);
+        }
+    }
+    constexpr double microseconds = 1e6;
+    const auto seconds =
+            static_cast<double>(work) / static_cast<double>(std::max<std::uint64_t>(1, capacity));
+    return capacity == 0 ? duration{}
+                         : duration{static_cast<duration::rep>(seconds * microseconds)};
+}
+
 /// A job that misses its objective gives way to those that can meet theirs, and is refused when it
 /// cannot start while its answer is of use. A refused job has no started task.
 void dispatch_entry::shedLateJobs()
@@ -632,7 +669,8 @@
     std::vector<batch_job_id> due;
     for (const auto &key : m_queue) {
         const auto &job = m_jobs.at(std::get<batch_job_id>(key));
-        const bool missed = !job.late && now > job.latestStart;
+        // What a started job has used is lost when it does not end, so it keeps its place longer.
+        const bool missed = !job.late && now > (job.started ? job.latestUseful : job.latestStart);
         if (missed || (job.late && now > job.latestUseful && !job.started)) {
             due.push_back(job.job.id);
         }
@@ -641,7 +679,8 @@
         auto &job = m_jobs.at(id);
         m_queue.erase(keyOf(job));
         job.late = true;
-        const auto wait = expectedWait(keyOf(job), job);
+        const bool targets = m_pool.usableAgents(job.route.service) > 0;
+        const auto wait = targets ? expectedWait(keyOf(job), job) : duration{};
         if (job.started || now + wait <= job.latestUseful) {
             m_queue.insert(keyOf(job));
             continue;
@@ -664,6 +703,7 @@
     request.step = step;
     request.work = &job.job.steps[step];
     request.service = job.route.service;
+    request.priority = job.route.priority;
     request.avoid = job.steps[step].tasks[index].avoid;
     const auto expected = m_times.expected(job.route.name, request.work->estimate);
     const auto objectives = job.late ? m_options.limits.usefulObjectives : 1;
@@ -728,6 +768,8 @@
     run.expected = m_times.expected(job.route.name, work.estimate);
     m_rate.started(workOf(work.demand.cpuMillis, run.expected, 1), m_member.now());
     m_pool.orderSent(agent.incarnation);
+    auto &mean = m_meanRuns.try_emplace(job.route.priority, run.expected).first->second;
+    mean += (run.expected - mean) / meanRunWeight;
     agent.outstanding.emplace(ref, run);
     ++job.outstanding;
     job.started = true;
@@ -736,7 +778,7 @@
                  {{"run", toText(ref)},
                   {"agent", toText(agent.incarnation)},
                   {"target", agent.target},
-                  {"committed_cpu", std::to_string(agent.committed.cpuMillis)},
+                  {"running_cpu", std::to_string(agent.running.cpuMillis)},
                   {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
 }
 
@@ -751,6 +793,7 @@
                             [&](const auto &agent) { return m_pool.usable(agent.second); })) {
         m_lastUsable = m_member.now();
     }
+    m_admission.update(backlog(), m_member.now());
     shedLateJobs();
     forgetEnded();
     syncEntries();
@@ -904,7 +947,7 @@
                           {"target", agent.target},
                           {"usable", m_pool.usable(agent)},
                           {"cpu_millis", agent.capacity.cpuMillis},
-                          {"committed_cpu_millis", agent.committed.cpuMillis},
+                          {"running_cpu_millis", agent.running.cpuMillis},
                           {"outstanding", agent.outstanding.size()}});
     }
     root["agents"] = std::move(agents);
--- a/src/dispatch/load_policy.cpp
+++ b/src/dispatch/load_policy.cpp
@@ -19,6 +19,13 @@
 constexpr double overdueFactor = 2.5;
 constexpr duration paceHalfLife = 3s; ///< in which half of a target's slowness is forgotten
 constexpr double microsecondsPerSecond = 1e6;
+/// Backlog that is kept: with it the least urgent jobs wait about three times as long, since others
+/// go first, which the objectives of today's routes allow.
+constexpr duration targetBacklog = 80ms;
+constexpr duration shareInterval = 100ms; ///< of adaptation; reports of agents are this old
+constexpr double shareGrowth = 0.05;      ///< an interval without any backlog
+constexpr double shareCut = 0.15;         ///< an interval with twice the backlog or more
+constexpr double leastShare = 0.1;
 
 double quotient(duration over, duration under)
 {
@@ -96,6 +103,21 @@
     return duration{static_cast<duration::rep>(seconds * microsecondsPerSecond)};
 }
 
+void admission_share::update(duration backlog, time_point now)
+{
+    if (now - m_updated < shareInterval) {
+        return;
+    }
+    m_updated = now;
+    const auto excess = std::min(1.0, quotient(backlog, targetBacklog) - 1.0);
+    if (excess > 0) {
+        m_share *= 1.0 - shareCut * excess;
+    } else {
+        m_share -= shareGrowth * excess;
+    }
+    m_share = std::clamp(m_share, leastShare, 1.0);
+}
+
 std::uint64_t workOf(std::uint64_t cpuMillis, duration runTime, std::uint64_t tasks)
 {
     const auto perTask = static_cast<double>(cpuMillis) * static_cast<double>(runTime.count()) /
--- a/tests/dispatch/fake_target.cpp
+++ b/tests/dispatch/fake_target.cpp
@@ -11,8 +11,7 @@
 
 } // namespace
 
-fake_target::fake_target(std::string id, resources capacity, plan_source plans,
-                         time_point now)
+fake_target::fake_target(std::string id, resources capacity, plan_source plans, time_point now)
     : m_life{std::move(id), 1}
     , m_capacity{capacity}
     , m_plans{std::move(plans)}
@@ -86,8 +85,8 @@
 target_reply fake_target::call(const target_call &made, time_point now)
 {
     advance(now);
-    const auto &header = std::visit(
-            [](const auto &each) -> const call_header & { return each.header; }, made);
+    const auto &header =
+            std::visit([](const auto &each) -> const call_header & { return each.header; }, made);
     if (!m_up) {
         return {header.id, call_status::unreachable, call_refusal::none, {}, {}};
     }
--- a/tests/dispatch/fake_target.hpp
+++ b/tests/dispatch/fake_target.hpp
@@ -49,11 +49,11 @@
     [[nodiscard]] const resources &capacity() const noexcept { return m_capacity; }
 
     target_phase phase = target_phase::serving;
-    double clockRate = 1.0;  ///< of the target's clock
-    double slowness = 1.0;   ///< factor of run times
-    bool hangs = false;      ///< runs that start now do not end by themselves
-    bool failsAll = false;   ///< runs that end now end as failed
-    run_listener onStart;    ///< a run begins
+    double clockRate = 1.0; ///< of the target's clock
+    double slowness = 1.0;  ///< factor of run times
+    bool hangs = false;     ///< runs that start now do not end by themselves
+    bool failsAll = false;  ///< runs that end now end as failed
+    run_listener onStart;   ///< a run begins
     std::function<void(const run_ref &, run_end_kind)> onRemoved; ///< a run no longer works
 
 private:
@@ -74,7 +74,7 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseEnd = 0;
-    std::map<run_ref, time_point> m_runs; ///< with the time at which each ends by itself
+    std::map<run_ref, time_point> m_runs;         ///< with the time at which each ends by itself
     std::map<batch_task, std::uint32_t> m_closed; ///< runs up to this number are rejected
     std::vector<listed_end> m_ended;
     std::uint64_t m_ends = 0;
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -269,8 +269,8 @@
 
 void fleet_simulation::sendCall(process &from, const target_call &call)
 {
-    const auto &header = std::visit(
-            [](const auto &made) -> const call_header & { return made.header; }, call);
+    const auto &header =
+            std::visit([](const auto &made) -> const call_header & { return made.header; }, call);
     auto &target = *m_targets[from.target];
     const auto *const caller = from.agent.get();
     const auto reply = [this, &from, caller](const target_reply &made, duration delay) {
@@ -339,7 +339,8 @@
     auto &target = *m_targets.at(number);
     trace(agentName(number), {"target_crashed", {{"us", std::to_string(downFor.count())}}});
     target.crash(now());
-    const auto id = "i-" + std::to_string(number) + (sameId ? "" : "-" + std::to_string(m_lastLife));
+    const auto id =
+            "i-" + std::to_string(number) + (sameId ? "" : "-" + std::to_string(m_lastLife));
     at(now() + downFor, [this, &target, id] { target.restart(id, ++m_lastLife, now()); });
 }
 
--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -111,8 +111,8 @@
         fleet.runFor(200ms);
     }
     fleet.runFor(3s);
-    result.lateAnswers = static_cast<std::size_t>(
-            std::ranges::count_if(fleet.jobs(), [before](const auto &job) {
+    result.lateAnswers =
+            static_cast<std::size_t>(std::ranges::count_if(fleet.jobs(), [before](const auto &job) {
                 return static_cast<std::uint64_t>(job.first) > before &&
                        job.second.answer != batch_job_state::succeeded;
             }));
@@ -132,7 +132,8 @@
 
 } // namespace
 
-TEST_CASE("dispatch schedule: under any faults no task runs twice at once and no target is overbooked")
+TEST_CASE("dispatch schedule: under any faults no task runs twice at once and no target is "
+          "overbooked")
 {
     // Guards against double runs after lost entries, agents, replies and targets, against late
     // orders, and against refusals of jobs that have run.
--- a/tests/load_policy_test.cpp
+++ b/tests/load_policy_test.cpp
@@ -58,6 +58,34 @@
     CHECK(rate.timeFor(5'000, 1'000, start + 10s) == 5s); // old starts do not count
 }
 
+TEST_CASE("a lasting overload is refused at arrival until the backlog is short")
+{
+    // Pattern: a third of the targets is gone for good, so the load is 1.4 times what the rest
+    // carry.
+    admission_share share;
+    constexpr double load = 1.4;
+    double backlog = 0; // seconds of work for all targets
+    double longest = 0;
+    double accepted = 0;
+    time_point now{100s};
+    for (int step = 0; step < 300; ++step) {
+        backlog = std::max(0.0, backlog + 0.1 * (load * share.share() - 1.0));
+        share.update(duration{static_cast<duration::rep>(backlog * 1e6)}, now);
+        now += 100ms;
+        if (step >= 100) {
+            longest = std::max(longest, backlog);
+            accepted += share.share() / 200;
+        }
+    }
+    CHECK(longest < 0.2);
+    CHECK(accepted * load > 0.97); // the targets stay busy
+    CHECK(accepted * load < 1.03);
+    for (int step = 0; step < 30; ++step) {
+        share.update({}, now += 100ms);
+    }
+    CHECK(share.share() == doctest::Approx(1.0));
+}
+
 TEST_CASE("work is cores times run time times tasks")
 {
     CHECK(workOf(3'000, 500ms, 4) == 6'000);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -80,8 +80,8 @@
     CHECK(faultOf(R"({"taskSpec":"t","steps":[{"count":1,"after":"x"}]})")
                   .starts_with("steps/0/after"));
     CHECK(faultOf(R"({"taskSpec":"t","steps":[{"count":800},{"count":800}]})") != "");
-    CHECK(faultOf("{\"taskSpec\":\"" + std::string(4'001, 'x') +
-                  "\",\"steps\":[{\"count\":1}]}") != "");
+    CHECK(faultOf("{\"taskSpec\":\"" + std::string(4'001, 'x') + "\",\"steps\":[{\"count\":1}]}") !=
+          "");
 }
 
 TEST_CASE("platform: jobs of kinds that are not served are marked")
@@ -101,8 +101,8 @@
 {
     CHECK(platform::encode({{}, batch_job_state::succeeded, error_kind::none, {}}).body() ==
           R"({"state":"succeeded"})");
-    const auto refusal = platform::encode(
-            {{}, batch_job_state::failed, error_kind::overloaded, 1'200ms});
+    const auto refusal =
+            platform::encode({{}, batch_job_state::failed, error_kind::overloaded, 1'200ms});
     CHECK(refusal.result_int() == 503);
     CHECK(refusal[http::field::retry_after] == "2");
     CHECK(platform::encodeFault(error_kind::unknown_route).result_int() == 404);
@@ -138,9 +138,9 @@
 
 TEST_CASE("platform: replies of a target are decoded")
 {
-    const auto fenced = platform::decodeTargetReply(
-            call_id{1}, http_call_end::answered,
-            answer(409, R"({"clockMs":482113,"reason":"fence"})"));
+    const auto fenced =
+            platform::decodeTargetReply(call_id{1}, http_call_end::answered,
+                                        answer(409, R"({"clockMs":482113,"reason":"fence"})"));
     CHECK(fenced.status == call_status::refused);
     CHECK(fenced.refusal == call_refusal::fenced);
     CHECK(fenced.clockMs == 482'113);
@@ -159,9 +159,8 @@
 
 TEST_CASE("platform: a listing of runs keeps what can be read")
 {
-    const auto reply = platform::decodeTargetReply(
-            call_id{1}, http_call_end::answered,
-            answer(200, R"({"clockMs":1,"born":99,
+    const auto reply = platform::decodeTargetReply(call_id{1}, http_call_end::answered,
+                                                   answer(200, R"({"clockMs":1,"born":99,
                 "running":[["5c0e7a21d94b36f8.0.1.17",2,"",41],["x",1,"",0],7],
                 "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",1,"alone",""],[60]]})"));
     REQUIRE(reply.listing);
@@ -205,9 +204,9 @@
 {
     CHECK(platform::parseTaskName("5c0e7a21d94b36f8.0.1.17") == batch_task{jobId, 1, 17});
     CHECK(platform::taskName({jobId, 1, 17}) == "5c0e7a21d94b36f8.0.1.17");
-    for (const auto *const name : {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
-                                   "5c0e7a21d94b36f8.0.1.x", "5C0E7A21D94B36F8.0.1.17",
-                                   "5c0e7a21d94b36f8.0.1.17.3", "5c0e7a21d94b36f8x0.1.17"}) {
+    for (const auto *const name :
+         {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x",
+          "5C0E7A21D94B36F8.0.1.17", "5c0e7a21d94b36f8.0.1.17.3", "5c0e7a21d94b36f8x0.1.17"}) {
         CHECK_FALSE(platform::parseTaskName(name));
     }
 }
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -24,9 +24,12 @@
 public:
     explicit session_fixture(std::uint64_t fence = 100)
         : session{time, fence}
-        , target{"i-1", {32'000, 65'536, 0}, [this](const run_ref &) {
+        , target{"i-1",
+                 {32'000, 65'536, 0},
+                 [this](const run_ref &) {
                      return task_plan{demand, runTime, false};
-                 }, time.now()}
+                 },
+                 time.now()}
     {
         target.onStart = [this](const run_ref &ref) { started.push_back(ref); };
         target.onRemoved = [](const run_ref &, run_end_kind) {};
@@ -166,8 +169,8 @@
         for (const auto &call : successor.takeCalls()) {
             successor.handle(fixture.target.call(call, fixture.time.now()));
         }
-        readyWithForeignRun = readyWithForeignRun ||
-                              (successor.ready() && !fixture.target.running().empty());
+        readyWithForeignRun =
+                readyWithForeignRun || (successor.ready() && !fixture.target.running().empty());
     }
     CHECK(successor.ready());
     CHECK(fixture.target.running().empty());
@@ -190,8 +193,8 @@
     bool lostWhileRunning = false;
     for (int round = 0; round < 200 && fixture.ends.empty(); ++round) {
         fixture.pass(10ms);
-        lostWhileRunning = lostWhileRunning ||
-                           (!fixture.ends.empty() && !fixture.target.running().empty());
+        lostWhileRunning =
+                lostWhileRunning || (!fixture.ends.empty() && !fixture.target.running().empty());
     }
     CHECK(fixture.ended(refOf(0), session_end::kind::lost));
     CHECK_FALSE(lostWhileRunning);
@@ -210,7 +213,8 @@
     {
         CHECK(fixture.session.report(fixture.target.report(fixture.time.now())));
     }
-    SUBCASE("seen by its listing") {}
+    SUBCASE("seen by its listing")
+    {}
     fixture.pass(100ms);
     CHECK(fixture.ended(refOf(0), session_end::kind::lost));
     CHECK(fixture.session.ready());
