--- a/include/bamboohead/dispatch/dispatch_action.hpp
+++ b/include/bamboohead/dispatch/dispatch_action.hpp
@@ -19,6 +19,7 @@
     batch_job_state state = batch_job_state::failed;
     error_kind error = error_kind::none;
     duration retryAfter{}; ///< with a refusal: when it makes sense to try again
+    duration took{};       ///< since the job was received; 0 for a refusal
 };
 
 using dispatch_action =
--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -24,6 +24,10 @@
     duration orderAge = std::chrono::milliseconds{600};
     duration busyPulse = std::chrono::milliseconds{100}; ///< to entries with runs here
     duration idlePulse = std::chrono::milliseconds{500}; ///< to other entries
+    /// Entries with runs here are told early when the demand of running tasks has changed by this
+    /// part of the capacity, in percent: with older figures several of them choose the same agent.
+    std::uint64_t changePercent = 20;
+    duration changePulse = std::chrono::milliseconds{25}; ///< shortest pause between such reports
     /// The platform ends a process that was asked to stop after 6 s.
     duration drainLimit = std::chrono::milliseconds{5'000};
     /// Demand of a priority and those before it that may wait for room, in percent of the capacity.
@@ -42,6 +46,15 @@
     target_session_limits target;
 };
 
+/// @brief Counters of an agent, monotonic.
+struct dispatch_agent_counters
+{
+    std::uint64_t started = 0;
+    std::uint64_t done = 0;
+    std::uint64_t notDone = 0; ///< failed, stopped or lost
+    std::uint64_t refused = 0; ///< orders that never started
+};
+
 /// @brief Decisions of an agent that runs tasks by their resources. Performs no I/O.
 ///
 /// Accepts orders while the target has room for them, starts the most urgent first, stops runs
@@ -69,6 +82,9 @@
     [[nodiscard]] std::vector<dispatch_action> takeActions();
     /// @brief Whether an entry has been heard lately.
     [[nodiscard]] bool connected() const;
+    [[nodiscard]] const dispatch_agent_counters &counters() const noexcept { return m_counters; }
+    /// @brief Takes the run times of runs that were done since the last call.
+    [[nodiscard]] std::vector<duration> takeRunTimes() { return std::exchange(m_runTimes, {}); }
     [[nodiscard]] boost::json::value dump() const;
 
 private:
@@ -78,7 +94,9 @@
         std::uint64_t endsCounted = 0;
         std::deque<wire::RunEnd> unacked;
         std::size_t unsent = 0; ///< newest of `unacked` that were not sent yet
-        time_point lastReport;
+        time_point lastReport;  ///< whole one
+        time_point lastFigures;
+        std::uint64_t reportedCpu = 0; ///< of the running tasks, in the newest report
     };
 
     /// Lower keys start first.
@@ -112,8 +130,10 @@
     void takeSessionResults();
     void sessionEnded(const session_end &end);
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime);
+    void count(wire::RunOutcome outcome, duration runTime);
     void sendReports();
     void sendReport(incarnation_id entry, entry_link &link, bool whole);
+    [[nodiscard]] bool figuresChanged(const entry_link &link) const;
     [[nodiscard]] bool hasRunsOf(incarnation_id entry) const;
     [[nodiscard]] bool takesOrders() const;
 
@@ -125,6 +145,8 @@
     std::map<queue_key, run_ref> m_queue;
     std::map<std::uint32_t, resources> m_queued; ///< demand by priority
     std::uint64_t m_arrivals = 0;
+    dispatch_agent_counters m_counters;
+    std::vector<duration> m_runTimes;
     bool m_readyReported = false;
     std::optional<time_point> m_stopSince;
     bool m_done = false;
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -138,6 +138,7 @@
     template <typename Part>
     void poll(Part &part);
     void noteContact(bool failing);
+    void log(std::string name);
 
     store_follower_options m_options;
     area_follower m_configuration;
--- a/include/bamboohead/metrics.hpp
+++ b/include/bamboohead/metrics.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "bamboohead/agent_core.hpp"
+#include "bamboohead/dispatch/dispatch_agent.hpp"
+#include "bamboohead/dispatch/dispatch_entry.hpp"
 #include "bamboohead/entry_core.hpp"
 #include "bamboohead/transport.hpp"
 
@@ -23,6 +25,8 @@
     void update(const entry_counters &counters);
     void update(const agent_counters &counters);
     void update(const transport_counters &counters);
+    void update(const dispatch_entry_counters &counters);
+    void update(const dispatch_agent_counters &counters);
     /// @}
 
     /// @brief Time from the arrival of a submission to its answer.
--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -93,7 +93,12 @@
             target.call(*call);
         }
     });
-    loop.onTick([&] { loop.store().connected(core.connected()); });
+    loop.onTick([&] {
+        loop.store().connected(core.connected());
+        for (const auto time : core.takeRunTimes()) {
+            loop.metrics().observeTask(time);
+        }
+    });
     logStart(options.self, settings.http);
     loop.run();
     logLine(log_level::info, "process_ended", {});
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -180,6 +180,7 @@
                 return;
             }
             m_metrics.update(m_messages.counters());
+            m_metrics.update(m_core.counters());
             if (fileTime() != m_fileTime) {
                 reload("file_changed");
             }
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -23,6 +23,8 @@
 
 using entry_row = counter_row<entry_counters>;
 using agent_row = counter_row<agent_counters>;
+using dispatch_entry_row = counter_row<dispatch_entry_counters>;
+using dispatch_agent_row = counter_row<dispatch_agent_counters>;
 using transport_row = counter_row<transport_counters>;
 
 constexpr std::array entryRows{
@@ -81,6 +83,42 @@
                       &transport_counters::peersClosed},
 };
 
+constexpr std::array dispatchEntryRows{
+        dispatch_entry_row{"bamboohead_dispatch_jobs_submitted_total",
+                           "Jobs submitted to this entry.", &dispatch_entry_counters::submitted},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_succeeded_total",
+                           "Jobs whose tasks were all done.", &dispatch_entry_counters::succeeded},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_failed_total",
+                           "Jobs with a task that failed too often.",
+                           &dispatch_entry_counters::failed},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_refused_total",
+                           "Jobs refused before anything ran.", &dispatch_entry_counters::refused},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_abandoned_total", "Jobs whose caller left.",
+                           &dispatch_entry_counters::abandoned},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_expired_total",
+                           "Jobs that did not end while their caller waited.",
+                           &dispatch_entry_counters::expired},
+        dispatch_entry_row{"bamboohead_dispatch_runs_ordered_total", "Runs ordered at agents.",
+                           &dispatch_entry_counters::runsOrdered},
+        dispatch_entry_row{"bamboohead_dispatch_runs_refused_total",
+                           "Orders refused by agents before a start.",
+                           &dispatch_entry_counters::runsRefused},
+        dispatch_entry_row{"bamboohead_dispatch_runs_lost_total",
+                           "Runs that ended without a result.", &dispatch_entry_counters::runsLost},
+};
+
+constexpr std::array dispatchAgentRows{
+        dispatch_agent_row{"bamboohead_dispatch_runs_started_total", "Runs started on the target.",
+                           &dispatch_agent_counters::started},
+        dispatch_agent_row{"bamboohead_dispatch_runs_done_total", "Runs that ended as done.",
+                           &dispatch_agent_counters::done},
+        dispatch_agent_row{"bamboohead_dispatch_runs_not_done_total",
+                           "Runs that failed, were stopped or were lost.",
+                           &dispatch_agent_counters::notDone},
+        dispatch_agent_row{"bamboohead_dispatch_orders_refused_total",
+                           "Orders refused before a start.", &dispatch_agent_counters::refused},
+};
+
 /// Prometheus counters of one counter structure, created with its first update.
 template <typename Counters, std::size_t Size>
 class counter_group
@@ -187,6 +225,10 @@
     counter_group<entry_counters, entryRows.size()> entry{entryRows};
     counter_group<agent_counters, agentRows.size()> agent{agentRows};
     counter_group<transport_counters, transportRows.size()> messages{transportRows};
+    counter_group<dispatch_entry_counters, dispatchEntryRows.size()> dispatchEntry{
+            dispatchEntryRows};
+    counter_group<dispatch_agent_counters, dispatchAgentRows.size()> dispatchAgent{
+            dispatchAgentRows};
     traffic_group sentTraffic{registry, "sent"};
     traffic_group receivedTraffic{registry, "received"};
     prometheus::Histogram &response{
@@ -222,6 +264,16 @@
     m_impl->receivedTraffic.update(counters.receivedByKind);
 }
 
+void process_metrics::update(const dispatch_entry_counters &counters)
+{
+    m_impl->dispatchEntry.update(m_impl->registry, counters);
+}
+
+void process_metrics::update(const dispatch_agent_counters &counters)
+{
+    m_impl->dispatchAgent.update(m_impl->registry, counters);
+}
+
 void process_metrics::observeResponse(duration time)
 {
     m_impl->response.Observe(seconds(time));
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -209,6 +209,7 @@
         auto &run = m_runs.at(ref);
         run.queued = false;
         dequeue(run);
+        ++m_counters.started;
         m_session.start(ref, run.spec, run.demand);
         m_member.log("run_started",
                      {{"run", toText(ref)},
@@ -302,6 +303,7 @@
     if (run.queued) {
         dequeue(run);
     }
+    count(outcome, runTime);
     auto &entry = m_entries[run.entry];
     wire::RunEnd end;
     end.set_number(++entry.endsCounted);
@@ -318,6 +320,18 @@
     m_runs.erase(found);
 }
 
+void dispatch_agent::count(wire::RunOutcome outcome, duration runTime)
+{
+    if (outcome == wire::RUN_OUTCOME_DONE) {
+        ++m_counters.done;
+        m_runTimes.push_back(runTime);
+    } else if (outcome == wire::RUN_OUTCOME_REFUSED) {
+        ++m_counters.refused;
+    } else {
+        ++m_counters.notDone;
+    }
+}
+
 void dispatch_agent::stopOrphans()
 {
     std::vector<run_ref> orphans;
@@ -409,12 +423,25 @@
                                       ? m_options.limits.busyPulse
                                       : m_options.limits.idlePulse;
         const bool pulse = now - entry.lastReport >= interval;
-        if (pulse || entry.unsent > 0) {
+        const bool changed = interval == m_options.limits.busyPulse && figuresChanged(entry);
+        if (pulse || entry.unsent > 0 || changed) {
             sendReport(incarnation, entry, pulse);
         }
     }
 }
 
+bool dispatch_agent::figuresChanged(const entry_link &link) const
+{
+    if (!m_session.target() || m_member.now() - link.lastFigures < m_options.limits.changePulse) {
+        return false;
+    }
+    const auto running = m_session.committed().cpuMillis;
+    const auto change =
+            running > link.reportedCpu ? running - link.reportedCpu : link.reportedCpu - running;
+    const auto capacity = m_session.target()->capacity.cpuMillis;
+    return change * percent > capacity * m_options.limits.changePercent;
+}
+
 void dispatch_agent::sendReport(incarnation_id entry, entry_link &link, bool whole)
 {
     wire::Envelope envelope;
@@ -436,6 +463,8 @@
             }
         }
     }
+    link.lastFigures = m_member.now();
+    link.reportedCpu = m_session.committed().cpuMillis;
     report.set_ready(takesOrders());
     report.set_cleared(m_session.cleared());
     report.set_config_version(m_member.config().revision);
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -399,7 +399,7 @@
     const auto id = job.id;
     if (const auto ended = m_ended.find(id); ended != m_ended.end()) {
         m_member.log("job_repeated", {{"job", toText(id)}, {"state", "ended"}});
-        m_member.push(job_reply{request, ended->second, error_kind::none, {}});
+        m_member.push(job_reply{request, ended->second, error_kind::none, {}, {}});
         return;
     }
     if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
@@ -455,7 +455,7 @@
 void dispatch_entry::resumeEnding(job_record &job, caller_request request)
 {
     if (job.endState && *job.endState != batch_job_state::cancelled) {
-        m_member.push(job_reply{request, *job.endState, error_kind::none, {}});
+        m_member.push(job_reply{request, *job.endState, error_kind::none, {}, {}});
         return;
     }
     job.callers.push_back(request);
@@ -484,7 +484,7 @@
                                  {"share", std::to_string(m_admission.share())},
                                  {"retry_ms", std::to_string(toMilliseconds(retryAfter))}});
     m_member.push(
-            job_reply{request, batch_job_state::failed, why, std::max(retryAfter, shortRetry)});
+            job_reply{request, batch_job_state::failed, why, std::max(retryAfter, shortRetry), {}});
 }
 
 void dispatch_entry::callerGone(caller_request request)
@@ -542,7 +542,7 @@
                   {"after_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
     for (const auto request : job.callers) {
         m_callers.erase(request);
-        m_member.push(job_reply{request, state, error, {}});
+        m_member.push(job_reply{request, state, error, {}, m_member.now() - job.received});
     }
     job.callers.clear();
     stopRuns(job);
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -238,8 +238,17 @@
         return;
     }
     m_lost = failing;
-    m_events.push_back({failing ? "store_lost" : "store_regained",
-                        {{"revision", std::to_string(m_configuration.revision())}}});
+    if (failing) {
+        log("store_lost");
+    } else {
+        log("store_regained");
+    }
+}
+
+void store_follower::log(std::string name)
+{
+    m_events.push_back(
+            {std::move(name), {{"revision", std::to_string(m_configuration.revision())}}});
 }
 
 void store_follower::withdraw()
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -418,8 +418,11 @@
     }
     for (const auto &[ref, how] : gone) {
         const bool notStarted = how == session_end::kind::not_started;
-        log(notStarted ? "start_void" : "run_missing",
-            {{"run", toText(ref)}, {"fence", std::to_string(call.fence)}});
+        if (notStarted) {
+            log("start_void", {{"run", toText(ref)}, {"fence", std::to_string(call.fence)}});
+        } else {
+            log("run_missing", {{"run", toText(ref)}, {"fence", std::to_string(call.fence)}});
+        }
         end(ref, how, notStarted ? start_refusal::retry : start_refusal::none);
     }
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -99,10 +99,10 @@
 
 TEST_CASE("platform: replies to callers say what happened and when to come back")
 {
-    CHECK(platform::encode({{}, batch_job_state::succeeded, error_kind::none, {}}).body() ==
+    CHECK(platform::encode({{}, batch_job_state::succeeded, error_kind::none, {}, {}}).body() ==
           R"({"state":"succeeded"})");
     const auto refusal =
-            platform::encode({{}, batch_job_state::failed, error_kind::overloaded, 1'200ms});
+            platform::encode({{}, batch_job_state::failed, error_kind::overloaded, 1'200ms, {}});
     CHECK(refusal.result_int() == 503);
     CHECK(refusal[http::field::retry_after] == "2");
     CHECK(platform::encodeFault(error_kind::unknown_route).result_int() == 404);
