--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -137,6 +137,7 @@
     void applyEnds(const std::vector<listed_end> &ended);
     void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
     void stopForeign(const std::set<run_ref> &running);
+    [[nodiscard]] bool foreign(const run_ref &ref) const;
     void loseLapsedRuns();
     void end(const run_ref &ref, session_end::kind how,
              start_refusal refusal = start_refusal::none);
@@ -159,6 +160,7 @@
     std::map<call_id, pending_call> m_pending;
     std::map<run_ref, held_run> m_runs;
     std::map<run_ref, time_point> m_foreignStops;
+    std::map<run_ref, time_point> m_recentEnds; ///< an older listing may still show these
     resources m_committed;
     std::optional<std::int64_t> m_clockSample; ///< milliseconds, the target's clock
     time_point m_clockSampled;
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -19,8 +19,9 @@
 /// First jump of the fence after a refusal; it doubles with each further one. A predecessor's fence
 /// is a time of day in milliseconds, so this passes clocks that differ by a second at once.
 constexpr std::uint64_t firstFenceJump = 1'000;
-constexpr duration retryPause = 50ms;  ///< between list calls to a target that does not answer
-constexpr duration stopRepeat = 100ms; ///< between stop calls for one run
+constexpr duration retryPause = 50ms;   ///< between list calls to a target that does not answer
+constexpr duration stopRepeat = 100ms;  ///< between stop calls for one run
+constexpr duration overtakenLimit = 1s; ///< a listing may be overtaken by newer ones for this long
 constexpr std::uint32_t trustedFailures = 2; ///< list calls that may fail before the lease rests
 constexpr std::int64_t perMille = 1'000;
 
@@ -93,6 +94,7 @@
     m_leaseEnd = 0;
     m_pending.clear();
     m_foreignStops.clear();
+    m_recentEnds.clear();
     m_lastListing.reset();
     m_nextList = m_clock.now();
     m_listFailures = 0;
@@ -367,7 +369,7 @@
     resolveRuns(call, running);
     stopForeign(running);
     if (!m_cleared && call.fence == m_fence &&
-        std::ranges::none_of(running, [&](const auto &ref) { return !m_runs.contains(ref); })) {
+        std::ranges::none_of(running, [&](const auto &ref) { return foreign(ref); })) {
         m_cleared = true;
         log("target_cleared", {{"target", m_target->life.id}, {"fence", std::to_string(m_fence)}});
     }
@@ -427,11 +429,16 @@
     }
 }
 
+bool target_session::foreign(const run_ref &ref) const
+{
+    return !m_runs.contains(ref) && !m_recentEnds.contains(ref);
+}
+
 void target_session::stopForeign(const std::set<run_ref> &running)
 {
     const auto now = m_clock.now();
     for (const auto &ref : running) {
-        if (m_runs.contains(ref)) {
+        if (!foreign(ref)) {
             continue;
         }
         auto &sent = m_foreignStops[ref];
@@ -442,6 +449,8 @@
         }
     }
     std::erase_if(m_foreignStops, [&](const auto &stop) { return !running.contains(stop.first); });
+    std::erase_if(m_recentEnds,
+                  [&](const auto &ended) { return now - ended.second >= overtakenLimit; });
 }
 
 void target_session::end(const run_ref &ref, session_end::kind how, start_refusal refusal)
@@ -451,6 +460,7 @@
         return;
     }
     m_committed -= found->second.demand;
+    m_recentEnds[ref] = m_clock.now();
     m_ends.push_back({ref, how, refusal, m_clock.now() - found->second.started});
     m_runs.erase(found);
 }
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -258,6 +258,28 @@
     CHECK(fixture.ended(refOf(0), session_end::kind::done));
 }
 
+TEST_CASE("a run that has ended is not stopped because an older listing still shows it")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(20ms);
+    fixture.session.tick();
+    target_reply older;
+    for (const auto &call : fixture.session.takeCalls()) {
+        older = fixture.target.call(call, fixture.time.now());
+    }
+    fixture.time.advance(250ms);
+    fixture.target.advance(fixture.time.now());
+    fixture.session.tick();
+    fixture.deliver();
+    REQUIRE(fixture.ended(refOf(0), session_end::kind::done));
+    fixture.session.handle(older);
+    for (const auto &call : fixture.session.takeCalls()) {
+        CHECK_FALSE(std::holds_alternative<stop_run>(call));
+    }
+}
+
 TEST_CASE("a late report of an earlier lifetime is ignored")
 {
     session_fixture fixture;
