--- a/tests/fuzz/fuzz_targets.hpp
+++ b/tests/fuzz/fuzz_targets.hpp
@@ -15,6 +15,7 @@
 void fuzzJobBody(input_bytes bytes);
 void fuzzManifest(input_bytes bytes);
 void fuzzSettings(input_bytes bytes);
+void fuzzPlatformBody(input_bytes bytes); ///< bodies of callers, targets and the platform's store
 void fuzzStoreAnswer(input_bytes bytes);
 void fuzzEntryMessages(input_bytes bytes);
 void fuzzAgentMessages(input_bytes bytes);
--- a/tests/fuzz/fuzz_texts.cpp
+++ b/tests/fuzz/fuzz_texts.cpp
@@ -4,6 +4,9 @@
 #include "bamboohead/manifest.hpp"
 #include "bamboohead/settings.hpp"
 #include "etcd_messages.hpp"
+#include "platform/caller_api.hpp"
+#include "platform/store_api.hpp"
+#include "platform/target_api.hpp"
 
 #include <algorithm>
 
@@ -122,4 +125,32 @@
     }
 }
 
+void fuzzPlatformBody(input_bytes bytes)
+{
+    namespace http = boost::beast::http;
+    const std::string body{textOf(bytes)};
+    http_server_request request{http::verb::post, "/p/0000000000000001", 11};
+    request.body() = body;
+    const auto result = platform::decodeSubmission(batch_job_id{1}, request);
+    if (const auto *const job = std::get_if<batch_submission>(&result)) {
+        require(!job->steps.empty(), "steps");
+        require(longestChain(*job) >= duration{}, "chain");
+    }
+    if (const auto report = platform::decodeTargetReport("i-1", body)) {
+        require(!report->life.id.empty(), "target id");
+    }
+    http_client_response response{http::status::ok, 11};
+    response.body() = body;
+    (void)platform::decodeTargetReply(call_id{1}, http_call_end::answered, response);
+    const auto reply = platform::decodeStoreReply(call_id{1}, http_call_end::answered, response);
+    require(reply.status == store_status::ok || reply.status == store_status::unanswered, "status");
+    if (const auto state = platform::decodeConfiguration({{"op/config", body}}, 1)) {
+        const auto copy = decodeDesiredState(encode(*state));
+        require(copy && copy->routes.size() == state->routes.size(), "routes");
+    }
+    if (const auto task = platform::parseTaskName(body)) {
+        require(platform::parseTaskName(platform::taskName(*task)) == task, "task name");
+    }
+}
+
 } // namespace bamboohead::fuzz
--- a/tests/fuzz_corpus_test.cpp
+++ b/tests/fuzz_corpus_test.cpp
@@ -36,6 +36,7 @@
     replay("job_body", fuzzJobBody);
     replay("manifest", fuzzManifest);
     replay("settings", fuzzSettings);
+    replay("platform_body", fuzzPlatformBody);
     replay("store_answer", fuzzStoreAnswer);
     replay("entry_messages", fuzzEntryMessages);
     replay("agent_messages", fuzzAgentMessages);
