--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -1,4 +1,5 @@
 #include "bamboohead/dispatch/dispatch_agent.hpp"
+#include "bamboohead/dispatch/milliseconds.hpp"
 
 #include <algorithm>
 #include <set>
@@ -11,12 +12,6 @@
 constexpr std::size_t maxEndsPerReport = 500;
 constexpr duration deadEntryLimit = std::chrono::seconds{3};
 
-std::uint32_t toMilliseconds(duration time)
-{
-    return static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace
 
 dispatch_agent::dispatch_agent(dispatch_agent_options options, const clock &clock)
--- /dev/null
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -0,0 +1,280 @@
+#include "bamboohead/dispatch/dispatch_entry.hpp"
+#include "bamboohead/dispatch/milliseconds.hpp"
+
+#include <algorithm>
+
+namespace bamboohead {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration shortRetry = 1s; ///< told to callers when the cause may pass soon
+constexpr std::size_t maxEnded = 100'000;
+/// An entry without observations counts on one part in this many of its share of the targets.
+constexpr std::uint64_t assumedShare = 2;
+
+} // namespace
+
+error_kind dispatch_entry::refusalOf(const dispatch_route &route, const batch_submission &job) const
+{
+    if (!job.bestEffort || job.unsupported) {
+        return error_kind::unsupported_job;
+    }
+    if (m_jobs.size() >= m_options.limits.maxJobs) {
+        return error_kind::too_many_waiters;
+    }
+    if (refusesJobs()) {
+        return error_kind::stopping;
+    }
+    const bool hopeless = m_member.now() - m_lastUsable >= m_options.limits.targetGrace;
+    return hopeless && m_pool.usableAgents(route.service) == 0 ? error_kind::no_target
+                                                               : error_kind::none;
+}
+
+bool dispatch_entry::refusesJobs() const
+{
+    return m_stopSince && m_member.now() - *m_stopSince >= m_options.limits.drainLinger;
+}
+
+void dispatch_entry::setTimes(job_record &job) const
+{
+    const auto chain = m_times.expected(job.route.name, longestChain(job.job));
+    job.objective = responseObjective(chain, job.route);
+    job.latestStart = job.received + job.objective - chain;
+    job.latestUseful = job.received + job.objective * m_options.limits.usefulObjectives - chain;
+}
+
+std::uint64_t dispatch_entry::waitingWork(const job_record &job) const
+{
+    std::uint64_t work = 0;
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        const auto &step = job.job.steps[number];
+        work += workOf(step.demand.cpuMillis, m_times.expected(job.route.name, step.estimate),
+                       job.steps[number].waiting.size());
+    }
+    return work;
+}
+
+/// Time until the jobs before `key` have started at the present rate.
+duration dispatch_entry::expectedWait(const queue_key &key, const job_record &job) const
+{
+    std::uint64_t backlog = 0;
+    for (auto before = m_queue.begin(); before != m_queue.end() && *before < key; ++before) {
+        backlog += waitingWork(m_jobs.at(std::get<batch_job_id>(*before)));
+    }
+    if (backlog == 0) {
+        return {};
+    }
+    const auto entries = m_member.links().peers(wire::ROLE_ENTRY).size() + 1;
+    const auto share = m_pool.capacity(job.route.service).cpuMillis / entries / assumedShare;
+    return m_rate.timeFor(backlog, share, m_member.now());
+}
+
+void dispatch_entry::submit(caller_request request, const dispatch_route &route,
+                            batch_submission job)
+{
+    ++m_counters.submitted;
+    const auto id = job.id;
+    if (const auto ended = m_ended.find(id); ended != m_ended.end()) {
+        m_member.log("job_repeated", {{"job", toText(id)}, {"state", "ended"}});
+        m_member.push(job_reply{request, ended->second, error_kind::none, {}, {}});
+        return;
+    }
+    if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
+        m_member.log("job_repeated",
+                     {{"job", toText(id)}, {"state", known->second.ending ? "ending" : "open"}});
+        resumeEnding(known->second, request);
+        return;
+    }
+    const auto refusal = refusalOf(route, job);
+    if (refusal != error_kind::none) {
+        refuse(request, id, refusal, shortRetry);
+        return;
+    }
+    job_record record;
+    record.route = route;
+    record.received = m_member.now();
+    record.expires = record.received +
+                     (job.patience > duration{} ? job.patience : m_options.limits.defaultPatience);
+    for (const auto &step : job.steps) {
+        batch_step_record added;
+        added.tasks.resize(step.count);
+        for (auto index = step.count; index > 0; --index) {
+            added.waiting.push_back(index - 1);
+        }
+        record.steps.push_back(std::move(added));
+    }
+    record.job = std::move(job);
+    setTimes(record);
+    const bool targets = m_pool.usableAgents(route.service) > 0;
+    const auto wait = targets ? expectedWait(keyOf(record), record) : duration{};
+    const auto draw = std::uniform_real_distribution<double>{0, 1}(m_random);
+    if (!m_admission.accepts(draw) || record.received + wait > record.latestStart) {
+        refuse(request, id, error_kind::overloaded, wait);
+        return;
+    }
+    m_member.log("job_accepted",
+                 {{"job", toText(id)},
+                  {"route", route.name},
+                  {"steps", std::to_string(record.job.steps.size())},
+                  {"tasks", std::to_string(record.job.steps.front().count)},
+                  {"objective_ms", std::to_string(toMilliseconds(record.objective))},
+                  {"wait_ms", std::to_string(toMilliseconds(wait))},
+                  {"config", std::to_string(m_member.config().version)},
+                  {"patience_ms", std::to_string(toMilliseconds(record.job.patience))}});
+    record.callers.push_back(request);
+    m_callers.emplace(request, id);
+    m_expiries.emplace(record.expires, id);
+    enqueue(m_jobs.emplace(id, std::move(record)).first->second);
+}
+
+/// A repeated request joins an open job. A job that is ending because its caller left continues:
+/// tasks whose runs are being stopped start again after their ends.
+void dispatch_entry::resumeEnding(job_record &job, caller_request request)
+{
+    if (job.endState && *job.endState != batch_job_state::cancelled) {
+        m_member.push(job_reply{request, *job.endState, error_kind::none, {}, {}});
+        return;
+    }
+    job.callers.push_back(request);
+    m_callers.emplace(request, job.job.id);
+    if (job.ending) {
+        job.ending = false;
+        job.endState.reset();
+        m_expiries.erase({job.expires, job.job.id});
+        job.expires =
+                m_member.now() + (job.job.patience > duration{} ? job.job.patience
+                                                                : m_options.limits.defaultPatience);
+        m_expiries.emplace(job.expires, job.job.id);
+        enqueue(job);
+    }
+}
+
+void dispatch_entry::refuse(caller_request request, batch_job_id id, error_kind why,
+                            duration retryAfter)
+{
+    ++m_counters.refused;
+    m_member.log("job_refused", {{"job", toText(id)},
+                                 {"reason", std::string{answerFor(why).name}},
+                                 {"agents", std::to_string(m_pool.agents().size())},
+                                 {"open_jobs", std::to_string(m_jobs.size())},
+                                 {"waiting_jobs", std::to_string(m_queue.size())},
+                                 {"share", std::to_string(m_admission.share())},
+                                 {"retry_ms", std::to_string(toMilliseconds(retryAfter))}});
+    m_member.push(
+            job_reply{request, batch_job_state::failed, why, std::max(retryAfter, shortRetry), {}});
+}
+
+void dispatch_entry::callerGone(caller_request request)
+{
+    const auto found = m_callers.find(request);
+    if (found == m_callers.end()) {
+        return;
+    }
+    const auto id = found->second;
+    m_callers.erase(found);
+    auto &job = m_jobs.at(id);
+    std::erase(job.callers, request);
+    if (job.callers.empty() && !job.endState) {
+        ++m_counters.abandoned;
+        m_member.log("caller_left",
+                     {{"job", toText(id)},
+                      {"after_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+        endJob(job, batch_job_state::cancelled, error_kind::cancelled);
+        removeIfOver(id);
+    }
+}
+
+bool dispatch_entry::cancel(batch_job_id id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return m_ended.contains(id);
+    }
+    if (!found->second.endState) {
+        endJob(found->second, batch_job_state::cancelled, error_kind::cancelled);
+        removeIfOver(id);
+    }
+    return true;
+}
+
+void dispatch_entry::endJob(job_record &job, batch_job_state state, error_kind error)
+{
+    const auto id = job.job.id;
+    job.endState = state;
+    job.ending = true;
+    m_queue.erase(keyOf(job));
+    m_expiries.erase({job.expires, id});
+    if (state == batch_job_state::succeeded) {
+        ++m_counters.succeeded;
+    } else if (state == batch_job_state::failed) {
+        ++m_counters.failed;
+    }
+    m_member.log("job_ended",
+                 {{"job", toText(id)},
+                  {"state", state == batch_job_state::succeeded ? "succeeded"
+                            : state == batch_job_state::failed  ? "failed"
+                                                                : "cancelled"},
+                  {"reason", std::string{answerFor(error).name}},
+                  {"runs_left", std::to_string(job.outstanding)},
+                  {"after_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+    for (const auto request : job.callers) {
+        m_callers.erase(request);
+        m_member.push(job_reply{request, state, error, {}, m_member.now() - job.received});
+    }
+    job.callers.clear();
+    stopRuns(job);
+    if (state != batch_job_state::cancelled) {
+        m_ended.emplace(id, state);
+        m_endedOrder.push_back({id, m_member.now()});
+    }
+}
+
+void dispatch_entry::stopRuns(const job_record &job)
+{
+    if (job.outstanding == 0) {
+        return;
+    }
+    const run_ref first{{job.job.id, 0, 0}, 0};
+    for (auto &[incarnation, agent] : m_pool.agents()) {
+        for (auto run = agent.outstanding.lower_bound(first);
+             run != agent.outstanding.end() && run->first.task.job == job.job.id; ++run) {
+            if (!run->second.stopping) {
+                run->second.stopping = true;
+                run->second.stopSent = m_member.now();
+                toWire(run->first, *m_drafts[incarnation].add_stops());
+            }
+        }
+    }
+}
+
+void dispatch_entry::expireJobs()
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= m_member.now()) {
+        const auto id = m_expiries.begin()->second;
+        ++m_counters.expired;
+        endJob(m_jobs.at(id), batch_job_state::cancelled, error_kind::deadline_exceeded);
+        removeIfOver(id);
+    }
+}
+
+void dispatch_entry::removeIfOver(batch_job_id id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && found->second.ending && found->second.outstanding == 0) {
+        m_jobs.erase(found);
+    }
+}
+
+void dispatch_entry::forgetEnded()
+{
+    while (!m_endedOrder.empty() &&
+           (m_endedOrder.size() > maxEnded ||
+            m_member.now() - m_endedOrder.front().ended >= m_options.limits.endedKept)) {
+        m_ended.erase(m_endedOrder.front().id);
+        m_endedOrder.pop_front();
+    }
+}
+
+} // namespace bamboohead
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -142,16 +142,6 @@
     return *m_targets.at(number);
 }
 
-dispatch_entry &fleet_simulation::entryAt(unsigned number)
-{
-    return *m_processes.at(entryName(number))->entry;
-}
-
-dispatch_agent &fleet_simulation::agentAt(unsigned number)
-{
-    return *m_processes.at(agentName(number))->agent;
-}
-
 // Time
 
 void fleet_simulation::at(time_point when, std::function<void()> action)
@@ -344,16 +334,6 @@
     at(now() + downFor, [this, &target, id] { target.restart(id, ++m_lastLife, now()); });
 }
 
-void fleet_simulation::setConfig(const desired_state &state)
-{
-    m_config = state;
-    for (auto &[endpoint, subject] : m_processes) {
-        if (subject->entry) {
-            subject->entry->configRead(state);
-        }
-    }
-}
-
 // Callers
 
 void fleet_simulation::submit(unsigned tasks, duration runTime, duration patience)
--- a/tests/dispatch/fleet_simulation.hpp
+++ b/tests/dispatch/fleet_simulation.hpp
@@ -83,13 +83,10 @@
     /// @brief Cuts messages in one direction only.
     void cutOneWay(const std::string &from, const std::string &to, duration length);
     void crashTarget(unsigned number, duration downFor, bool sameId);
-    void setConfig(const desired_state &state);
 
     [[nodiscard]] std::string entryName(unsigned number) const;
     [[nodiscard]] std::string agentName(unsigned number) const;
     [[nodiscard]] fake_target &targetOf(unsigned number);
-    [[nodiscard]] dispatch_entry &entryAt(unsigned number);
-    [[nodiscard]] dispatch_agent &agentAt(unsigned number);
     [[nodiscard]] unsigned random(unsigned below);
 
     // Results
