Write each step of losing and stopping runs once; name the end of a lease in our own words

Found by reading the change again: runs lost with their agent and stops of a run were each written twice, as were the mean run time of siblings and the guard for an entry without known targets. The field ordered of outstanding_run was never read. The platform's name untilMs stood outside of platform/; it is leaseEndMs now, the wire keeps its name. No behaviour and no assertion changed.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -19,7 +19,6 @@
 {
     resources demand;
     std::uint64_t orderNumber = 0;
-    time_point ordered;
     bool stopping = false;
     time_point stopSent;
     duration expected{}; ///< run time on an ordinary target
--- a/include/bamboohead/dispatch/batch_job.hpp
+++ b/include/bamboohead/dispatch/batch_job.hpp
@@ -58,6 +58,12 @@
     std::vector<std::uint32_t> waiting; ///< indices of tasks to start, the next one last
     std::uint32_t done = 0;
     duration doneTime{}; ///< sum of the run times of the tasks that are done
+
+    /// @brief Mean run time of the tasks that are done, or `none` while there is none.
+    [[nodiscard]] duration meanRunTime(duration none) const
+    {
+        return done > 0 ? doneTime / done : none;
+    }
 };
 
 /// @brief Declared run time of the longest chain of steps.
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -145,6 +145,8 @@
                                         const outstanding_run &run) const;
     void watchRun(agent_view &agent, const run_ref &ref, outstanding_run &run, duration runTime);
     void runLost(const run_ref &ref, incarnation_id agent, std::string_view why);
+    void loseRuns(agent_view &agent, std::string_view why);
+    void sendStop(agent_view &agent, const run_ref &ref, outstanding_run &run);
     void taskDone(job_record &job, const run_ref &ref);
     void taskFailed(job_record &job, const run_ref &ref, incarnation_id agent);
     void taskWaits(job_record &job, const batch_task &task, incarnation_id avoid);
--- a/include/bamboohead/dispatch/target_calls.hpp
+++ b/include/bamboohead/dispatch/target_calls.hpp
@@ -57,7 +57,7 @@
     call_header header;
     run_ref ref;
     std::string spec;
-    std::int64_t untilMs = 0; ///< end of the lease on the target's clock
+    std::int64_t leaseEndMs = 0; ///< end of the lease on the target's clock
     std::uint64_t fence = 0;
 };
 
@@ -74,9 +74,9 @@
 {
     call_header header;
     std::uint64_t fence = 0;
-    std::uint64_t endsSeen = 0;          ///< the target forgets ends up to this number
-    std::optional<std::int64_t> untilMs; ///< none: the lease stays as it is
-    duration wait{};                     ///< the reply waits this long for an end
+    std::uint64_t endsSeen = 0;             ///< the target forgets ends up to this number
+    std::optional<std::int64_t> leaseEndMs; ///< none: the lease stays as it is
+    duration wait{};                        ///< the reply waits this long for an end
 };
 
 using target_call = std::variant<start_run, stop_run, list_runs>;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -125,12 +125,8 @@
 {
     for (auto &[incarnation, agent] : m_pool.agents()) {
         const bool older = agent.endpoint == successor.endpoint && &agent != &successor;
-        if (!older || agent.outstanding.empty()) {
-            continue;
-        }
-        const auto lost = std::exchange(agent.outstanding, {});
-        for (const auto &[ref, run] : lost) {
-            runLost(ref, incarnation, "agent_restarted");
+        if (older) {
+            loseRuns(agent, "agent_restarted");
         }
     }
 }
@@ -141,11 +137,8 @@
     for (auto &[incarnation, agent] : m_pool.agents()) {
         const auto *const peer = m_member.links().find(incarnation);
         const auto silence = peer == nullptr ? deadAgentLimit : m_member.now() - peer->lastArrival;
-        if (silence >= m_options.limits.runLossLimit && !agent.outstanding.empty()) {
-            const auto lost = std::exchange(agent.outstanding, {});
-            for (const auto &[ref, run] : lost) {
-                runLost(ref, incarnation, "agent_silent");
-            }
+        if (silence >= m_options.limits.runLossLimit) {
+            loseRuns(agent, "agent_silent");
         }
         if (peer == nullptr || silence >= deadAgentLimit) {
             gone.push_back(incarnation);
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -56,9 +56,13 @@
     return work;
 }
 
-/// Time until the jobs before `key` have started at the present rate.
+/// Time until the jobs before `key` have started at the present rate; none while no target is
+/// known, as at the start of the process.
 duration dispatch_entry::expectedWait(const queue_key &key, const job_record &job) const
 {
+    if (m_pool.usableAgents(job.route.service) == 0) {
+        return {};
+    }
     std::uint64_t backlog = 0;
     for (auto before = m_queue.begin(); before != m_queue.end() && *before < key; ++before) {
         backlog += waitingWork(m_jobs.at(std::get<batch_job_id>(*before)));
@@ -107,8 +111,7 @@
     }
     record.job = std::move(job);
     setTimes(record);
-    const bool targets = m_pool.usableAgents(route.service) > 0;
-    const auto wait = targets ? expectedWait(keyOf(record), record) : duration{};
+    const auto wait = expectedWait(keyOf(record), record);
     const auto draw = std::uniform_real_distribution<double>{0, 1}(m_random);
     if (!m_admission.accepts(draw) || record.received + wait > record.latestStart) {
         refuse(request, id, error_kind::overloaded, wait);
@@ -241,9 +244,7 @@
         for (auto run = agent.outstanding.lower_bound(first);
              run != agent.outstanding.end() && run->first.task.job == job.job.id; ++run) {
             if (!run->second.stopping) {
-                run->second.stopping = true;
-                run->second.stopSent = m_member.now();
-                toWire(run->first, *m_drafts[incarnation].add_stops());
+                sendStop(agent, run->first, run->second);
             }
         }
     }
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -95,8 +95,7 @@
         auto &job = m_jobs.at(id);
         m_queue.erase(keyOf(job));
         job.late = true;
-        const bool targets = m_pool.usableAgents(job.route.service) > 0;
-        const auto wait = targets ? expectedWait(keyOf(job), job) : duration{};
+        const auto wait = expectedWait(keyOf(job), job);
         if (job.started || now + wait <= job.latestUseful) {
             m_queue.insert(keyOf(job));
             continue;
@@ -180,7 +179,6 @@
     outstanding_run run;
     run.demand = work.demand;
     run.orderNumber = agent.ordersSent;
-    run.ordered = m_member.now();
     run.expected = m_times.expected(job.route.name, work.estimate);
     m_rate.started(workOf(work.demand.cpuMillis, run.expected, 1), m_member.now());
     m_pool.orderSent(agent.incarnation);
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -68,11 +68,8 @@
 duration dispatch_entry::ordinaryTime(const job_record &job, const run_ref &ref,
                                       const outstanding_run &run) const
 {
-    const auto &step = job.steps.at(ref.task.step);
-    if (step.done > 0) {
-        return step.doneTime / step.done;
-    }
-    return run.expected * declaredMarginPercent / wholePercent;
+    const auto declared = run.expected * declaredMarginPercent / wholePercent;
+    return job.steps.at(ref.task.step).meanRunTime(declared);
 }
 
 void dispatch_entry::observeRunTime(agent_view &agent, job_record &job, const run_ref &ref,
@@ -80,7 +77,7 @@
 {
     m_pool.taskEnded(agent.incarnation, ref.task.job, false);
     auto &step = job.steps.at(ref.task.step);
-    const auto reference = step.done > 0 ? step.doneTime / step.done : run.expected;
+    const auto reference = step.meanRunTime(run.expected);
     agent.pace.ended(reference, runTime, m_member.now());
     // A slow target tells nothing about the declared times.
     if (agent.pace.slowness(m_member.now()) < replacedSlowness) {
@@ -110,9 +107,7 @@
     if (!m_pool.hasIdle(request)) {
         return;
     }
-    run.stopping = true;
-    run.stopSent = m_member.now();
-    toWire(ref, *m_drafts[agent.incarnation].add_stops());
+    sendStop(agent, ref, run);
     m_member.log("run_replaced", {{"run", toText(ref)},
                                   {"agent", toText(agent.incarnation)},
                                   {"run_ms", std::to_string(toMilliseconds(runTime))},
@@ -132,6 +127,22 @@
     }
 }
 
+/// No run of the agent can be at work any more.
+void dispatch_entry::loseRuns(agent_view &agent, std::string_view why)
+{
+    const auto lost = std::exchange(agent.outstanding, {});
+    for (const auto &[ref, run] : lost) {
+        runLost(ref, agent.incarnation, why);
+    }
+}
+
+void dispatch_entry::sendStop(agent_view &agent, const run_ref &ref, outstanding_run &run)
+{
+    run.stopping = true;
+    run.stopSent = m_member.now();
+    toWire(ref, *m_drafts[agent.incarnation].add_stops());
+}
+
 void dispatch_entry::taskDone(job_record &job, const run_ref &ref)
 {
     auto &step = job.steps.at(ref.task.step);
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -202,7 +202,7 @@
     // A lease that is not extended ends by itself, which tells the fate of the runs of a target
     // that no longer answers.
     if (m_clockSample && m_cleared && m_listFailures < trustedFailures) {
-        call.untilMs = newLeaseEnd();
+        call.leaseEndMs = newLeaseEnd();
     }
     m_calls.emplace_back(std::move(call));
 }
--- a/tests/dispatch/fake_target.cpp
+++ b/tests/dispatch/fake_target.cpp
@@ -107,9 +107,9 @@
     return false;
 }
 
-void fake_target::extend(std::int64_t untilMs, time_point now)
+void fake_target::extend(std::int64_t leaseEndMs, time_point now)
 {
-    m_leaseEnd = std::max(m_leaseEnd, std::min(untilMs, clockMs(now) + longestLeaseMs));
+    m_leaseEnd = std::max(m_leaseEnd, std::min(leaseEndMs, clockMs(now) + longestLeaseMs));
 }
 
 target_reply fake_target::handle(const start_run &call, time_point now)
@@ -122,15 +122,15 @@
     const auto closed = m_closed.find(call.ref.task);
     if (closed != m_closed.end() && call.ref.run <= closed->second) {
         answer.refusal = call_refusal::old_run;
-        extend(call.untilMs, now);
+        extend(call.leaseEndMs, now);
         return answer;
     }
-    if (call.untilMs <= clockMs(now)) {
+    if (call.leaseEndMs <= clockMs(now)) {
         answer.refusal = call_refusal::late;
         return answer;
     }
     answer.status = call_status::accepted;
-    extend(call.untilMs, now);
+    extend(call.leaseEndMs, now);
     const auto plan = m_plans(call.ref);
     const duration time{
             static_cast<duration::rep>(static_cast<double>(plan.runTime.count()) * slowness)};
@@ -159,8 +159,8 @@
     if (fenced(call.fence, answer)) {
         return answer;
     }
-    if (call.untilMs) {
-        extend(*call.untilMs, now);
+    if (call.leaseEndMs) {
+        extend(*call.leaseEndMs, now);
     }
     std::erase_if(m_ended, [&](const auto &end) { return end.number <= call.endsSeen; });
     run_listing listing;
--- a/tests/dispatch/fake_target.hpp
+++ b/tests/dispatch/fake_target.hpp
@@ -62,7 +62,7 @@
     target_reply handle(const stop_run &call, time_point now);
     target_reply handle(const list_runs &call, time_point now);
     bool fenced(std::uint64_t fence, target_reply &answer);
-    void extend(std::int64_t untilMs, time_point now);
+    void extend(std::int64_t leaseEndMs, time_point now);
     void finish(const run_ref &ref, run_end_kind kind);
     [[nodiscard]] std::int64_t clockMs(time_point now) const;
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -116,7 +116,7 @@
     start.header = {call_id{1}, "10.0.0.1:80", "i-7f3a91c2", 100ms};
     start.ref = {{jobId, 1, 17}, 2};
     start.spec = "text";
-    start.untilMs = 486'000;
+    start.leaseEndMs = 486'000;
     start.fence = 7;
     const auto request = platform::encode(target_call{start});
     CHECK(request.target() == "/run-start");
