Add a fault soak of real processes; keep runs open until a new lifetime of their target tells

Cause: beginLife() forgot the lease of the earlier lifetime, so loseLapsedRuns() took every run as lost at the next tick, before the first listing under the raised fence. A start that was carried out late in the new lifetime then ran beside the second run of its task, and over the target's capacity. Both new tests of target_session fail without the change.

The soak (tests/soak) runs entries and agents as processes among stand-ins of the platform's store and of runners, injects 25 kinds of faults from outside, and checks the promises from what callers and targets see. For it, processes can bind another endpoint than the one they announce (/bind).

The product's own entry and agent read their settings again on SIGHUP, which ended them before; the reading, checking and logging is one class for all processes (settings_file).

--- a/include/bamboohead/agent_core.hpp
+++ b/include/bamboohead/agent_core.hpp
@@ -84,6 +84,8 @@
     void taskEnded(const task_end &end);
     /// @brief Runs the periodic systems; called each 10 ms or so.
     void tick();
+    /// @brief The settings name other endpoints of entries from now on.
+    void setSeeds(std::vector<std::string> endpoints);
     /// @brief Starts a graceful shutdown.
     void stop();
 
--- a/include/bamboohead/detail/agent/agent_implementation.hpp
+++ b/include/bamboohead/detail/agent/agent_implementation.hpp
@@ -54,6 +54,7 @@
     void taskEnded(const task_end &end);
     void tick();
     void stop();
+    void setSeeds(std::vector<std::string> endpoints) { m_options.seeds = std::move(endpoints); }
     std::vector<agent_action> takeActions();
     [[nodiscard]] const agent_counters &counters() const noexcept { return m_counters; }
     [[nodiscard]] boost::json::value dump() const;
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -20,6 +20,9 @@
     /// Lease of everything that runs on the target. With the lease of an entry at its agents it has
     /// to end before a caller that lost its entry sends the job again, 1,300 ms later.
     duration lease = std::chrono::milliseconds{600};
+    /// A target shortens longer leases to this; also that of a start which reaches its next lifetime,
+    /// whose clock starts anew.
+    duration longestLease = std::chrono::milliseconds{1'000};
     /// Longest wait of a list call; less than half the lease, so that one lost call is harmless.
     duration listWait = std::chrono::milliseconds{200};
     /// List calls that wait at the same time while tasks run: when the reply to one is lost, the
@@ -144,6 +147,7 @@
     void noteClock(std::int64_t clockMs);
     [[nodiscard]] std::int64_t targetClock() const;
     [[nodiscard]] bool leaseSurelyOver() const;
+    [[nodiscard]] bool earlierStartsSurelyOver() const;
     [[nodiscard]] std::int64_t newLeaseEnd();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
 
@@ -165,6 +169,7 @@
     std::optional<std::int64_t> m_clockSample; ///< milliseconds, the target's clock
     time_point m_clockSampled;
     std::int64_t m_leaseEnd = 0; ///< latest end of a lease that was sent, the target's clock
+    time_point m_lifeBegan; ///< when this lifetime of the target became known
     std::optional<time_point> m_lastListing;
     time_point m_nextList;
     time_point m_unhealthyUntil;
--- a/include/bamboohead/entry_core.hpp
+++ b/include/bamboohead/entry_core.hpp
@@ -73,6 +73,8 @@
     void storeRead(config_version version, const std::string &text, time_point sentAt);
     /// @brief An operator's tool pushed an accepted manifest.
     void manifestPushed(config_version version, const std::string &text);
+    /// @brief The settings name other endpoints of entries from now on.
+    void setSeeds(std::vector<std::string> endpoints);
     /// @brief Runs the periodic systems; called each 10 ms or so.
     void tick();
     /// @brief Starts a graceful shutdown.
--- a/include/bamboohead/runtime.hpp
+++ b/include/bamboohead/runtime.hpp
@@ -42,19 +42,25 @@
     std::atomic<bool> m_pending{false};
 };
 
-/// @brief SIGTERM and SIGINT as a readable descriptor. Constructed before any other thread starts,
-///        because it blocks both signals in the calling thread and all later ones.
-class stop_signals
+/// @brief What a signal asks a process to do.
+enum class process_signal : std::uint8_t {
+    stop,   ///< SIGTERM or SIGINT
+    reload, ///< SIGHUP: the settings file has changed
+};
+
+/// @brief SIGTERM, SIGINT and SIGHUP as a readable descriptor. Constructed before any other thread
+///        starts, because it blocks the signals in the calling thread and all later ones.
+class process_signals
 {
 public:
     /// @throw std::system_error when no descriptor is available.
-    stop_signals();
-    ~stop_signals();
-    stop_signals(const stop_signals &) = delete;
-    stop_signals &operator=(const stop_signals &) = delete;
+    process_signals();
+    ~process_signals();
+    process_signals(const process_signals &) = delete;
+    process_signals &operator=(const process_signals &) = delete;
 
     /// @brief Takes one signal that has arrived.
-    void take() noexcept;
+    [[nodiscard]] process_signal take() noexcept;
     [[nodiscard]] int descriptor() const noexcept { return m_descriptor; }
 
 private:
@@ -119,8 +125,9 @@
         input_queue<Input> &inputs;
         transport &messages;
         process_metrics &metrics;
-        stop_signals &signals;
+        process_signals &signals;
         std::atomic<bool> &draining;
+        std::function<void()> reload; ///< called on SIGHUP
     };
 
     control_loop(loop_parts parts, input_handler handleInput, action_handler handleAction)
@@ -137,8 +144,7 @@
                                                      m_parts.signals.descriptor());
             const auto begin = m_clock.now();
             if (woken.signalled) {
-                m_parts.signals.take();
-                stop();
+                handle(m_parts.signals.take());
             }
             pass();
             m_parts.metrics.observeLoop(m_clock.now() - begin);
@@ -176,9 +182,11 @@
         }
     }
 
-    void stop()
+    void handle(process_signal signal)
     {
-        if (!m_parts.draining.exchange(true)) {
+        if (signal == process_signal::reload) {
+            m_parts.reload();
+        } else if (!m_parts.draining.exchange(true)) {
             logLine(log_level::info, "stop_requested", {});
             m_parts.core.stop();
         }
--- a/include/bamboohead/settings.hpp
+++ b/include/bamboohead/settings.hpp
@@ -62,6 +62,7 @@
 {
     std::string zone;
     std::string endpoint; ///< ZeroMQ endpoint of the inbox, for example tcp://127.0.0.1:7001
+    std::string bind;     ///< endpoint that is bound when others reach it by another; may be empty
     std::vector<std::string> seeds;
     log_settings log;
     http_settings http;
@@ -70,6 +71,12 @@
     dispatch_settings dispatch;
 };
 
+/// @brief Endpoint that a process binds for messages.
+[[nodiscard]] inline const std::string &boundEndpoint(const process_settings &settings)
+{
+    return settings.bind.empty() ? settings.endpoint : settings.bind;
+}
+
 /// @brief Kind of a setting's value.
 enum class setting_type : std::uint8_t { text, text_list, integer, choice };
 
--- a/src/adapters/agent_process.cpp
+++ b/src/adapters/agent_process.cpp
@@ -41,16 +41,17 @@
 
 } // namespace
 
-void runAgent(const process_settings &settings)
+void runAgent(const process_settings &settings, const std::string &settingsFile)
 {
     ignoreBrokenPipes();
-    stop_signals signals;
+    process_signals signals;
     const log_session log{settings.log};
     const steady_clock_source clock;
     const auto options = agentOptions(settings);
     process_metrics metrics;
-    transport messages{settings.endpoint, clock};
+    transport messages{boundEndpoint(settings), clock};
     agent_core core{options, clock};
+    settings_file file{settingsFile};
     input_queue<agent_input> inputs;
     std::atomic<bool> draining{false};
     target_client target{[&inputs](task_end end) { inputs.push(std::move(end)); }};
@@ -60,7 +61,7 @@
     server.start();
     logStart(options.self, settings.http);
     control_loop<agent_core, agent_input> loop{
-            {core, inputs, messages, metrics, signals, draining},
+            {core, inputs, messages, metrics, signals, draining, reloadSeeds(file, core)},
             [&](agent_core &to, const agent_input &next) { feed(to, metrics, next); },
             [&](agent_action &next) {
                 if (auto *const task = std::get_if<run_task>(&next)) {
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -19,7 +19,6 @@
 #include <atomic>
 #include <csignal>
 #include <ctime>
-#include <filesystem>
 #include <future>
 #include <memory>
 #include <optional>
@@ -57,7 +56,7 @@
         : m_settings{settings}
         , m_file{std::move(settingsFile)}
         , m_core{core}
-        , m_messages{settings.endpoint, clock}
+        , m_messages{boundEndpoint(settings), clock}
         , m_client{m_context}
         , m_store{std::move(storeOptions), clock}
         , m_signals{m_context, SIGTERM, SIGINT, SIGHUP}
@@ -66,9 +65,7 @@
         , m_slowTick{m_context}
         , m_server{settings.http, ownInterfaceThreads, m_metrics, m_draining,
                    [this] { return dump(); }}
-    {
-        m_fileTime = fileTime();
-    }
+    {}
 
     ~dispatch_loop() { m_inbox.release(); }
     dispatch_loop(const dispatch_loop &) = delete;
@@ -181,7 +178,7 @@
             }
             m_metrics.update(m_messages.counters());
             m_metrics.update(m_core.counters());
-            if (fileTime() != m_fileTime) {
+            if (m_file.changed()) {
                 reload("file_changed");
             }
             awaitSlowTick();
@@ -210,24 +207,12 @@
     }
 
     /// Settings in use stay when the new ones are wrong. Addresses that are bound stay too.
-    void reload(const std::string &cause)
+    void reload(std::string_view cause)
     {
-        m_fileTime = fileTime();
-        const auto result = loadSettings(m_file);
-        if (const auto *const faults = std::get_if<std::vector<config_fault>>(&result)) {
-            logLine(log_level::warning, "settings_rejected",
-                    {{"cause", cause}, {"fault", describeFault(m_file, faults->front())}});
-            return;
+        if (auto settings = m_file.reload(cause)) {
+            m_settings = std::move(*settings);
+            m_core.entriesFound(contactEndpoints(m_settings));
         }
-        m_settings = std::get<process_settings>(result);
-        m_core.entriesFound(contactEndpoints(m_settings));
-        logLine(log_level::info, "settings_reloaded", {{"cause", cause}});
-    }
-
-    [[nodiscard]] std::filesystem::file_time_type fileTime() const
-    {
-        std::error_code ignored;
-        return std::filesystem::last_write_time(m_file, ignored);
     }
 
     void pollStore()
@@ -288,7 +273,7 @@
     }
 
     process_settings m_settings;
-    std::string m_file;
+    settings_file m_file;
     Core &m_core;
     boost::asio::io_context m_context{1};
     transport m_messages;
@@ -301,7 +286,6 @@
     process_metrics m_metrics;
     std::atomic<bool> m_draining{false};
     http_server m_server;
-    std::filesystem::file_time_type m_fileTime;
     action_handler m_handleAction;
     std::function<void()> m_handleTick;
     std::function<void()> m_handleStop;
--- a/src/adapters/entry_process.cpp
+++ b/src/adapters/entry_process.cpp
@@ -82,16 +82,17 @@
 
 } // namespace
 
-void runEntry(const process_settings &settings)
+void runEntry(const process_settings &settings, const std::string &settingsFile)
 {
     ignoreBrokenPipes();
-    stop_signals signals;
+    process_signals signals;
     const log_session log{settings.log};
     const steady_clock_source clock;
     const auto options = entryOptions(settings);
     process_metrics metrics;
-    transport messages{settings.endpoint, clock};
+    transport messages{boundEndpoint(settings), clock};
     entry_core core{options, clock};
+    settings_file file{settingsFile};
     input_queue<entry_input> inputs;
     caller_table callers;
     std::atomic<bool> draining{false};
@@ -101,9 +102,10 @@
     server.start();
     const store_follower store{settings.entry, clock, inputs};
     logStart(options.self, settings.http);
-    control_loop<entry_core, entry_input> loop{{core, inputs, messages, metrics, signals, draining},
-                                               feed,
-                                               [&](entry_action &next) { answer(callers, next); }};
+    control_loop<entry_core, entry_input> loop{
+            {core, inputs, messages, metrics, signals, draining, reloadSeeds(file, core)},
+            feed,
+            [&](entry_action &next) { answer(callers, next); }};
     loop.run();
     callers.clear();
     server.stop();
--- a/src/adapters/process_parts.cpp
+++ b/src/adapters/process_parts.cpp
@@ -27,6 +27,35 @@
              {"http", http.address + ":" + std::to_string(http.port)}});
 }
 
+settings_file::settings_file(std::string path)
+    : m_path{std::move(path)}
+    , m_read{writeTime()}
+{}
+
+bool settings_file::changed() const
+{
+    return writeTime() != m_read;
+}
+
+std::optional<process_settings> settings_file::reload(std::string_view cause)
+{
+    m_read = writeTime();
+    auto result = loadSettings(m_path);
+    if (const auto *const faults = std::get_if<std::vector<config_fault>>(&result)) {
+        logLine(log_level::warning, "settings_rejected",
+                {{"cause", std::string{cause}}, {"fault", describeFault(m_path, faults->front())}});
+        return std::nullopt;
+    }
+    logLine(log_level::info, "settings_reloaded", {{"cause", std::string{cause}}});
+    return std::get<process_settings>(std::move(result));
+}
+
+std::filesystem::file_time_type settings_file::writeTime() const
+{
+    std::error_code ignored; // a missing file is reported by the next reload
+    return std::filesystem::last_write_time(m_path, ignored);
+}
+
 void ignoreBrokenPipes()
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
--- a/src/adapters/process_parts.hpp
+++ b/src/adapters/process_parts.hpp
@@ -5,7 +5,11 @@
 #include "bamboohead/runtime.hpp"
 
 #include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace bamboohead {
 
@@ -31,6 +35,38 @@
 /// @brief A SIGPIPE of a closed connection must not end the process.
 void ignoreBrokenPipes();
 
+/// @brief The settings file of a running process.
+class settings_file
+{
+public:
+    explicit settings_file(std::string path);
+
+    /// @brief Whether the file was written since it was read last.
+    [[nodiscard]] bool changed() const;
+    /// @brief Reads and checks the file as a whole, and logs the outcome.
+    /// @param cause Why it is read again, for the log.
+    /// @return None when the settings are wrong; those in use stay in force then.
+    [[nodiscard]] std::optional<process_settings> reload(std::string_view cause);
+
+private:
+    [[nodiscard]] std::filesystem::file_time_type writeTime() const;
+
+    std::string m_path;
+    std::filesystem::file_time_type m_read;
+};
+
+/// @brief Reads settings again on SIGHUP. Only the seeds can change while a process runs; bound
+///        addresses, the zone and the log stay until it is restarted.
+template <typename Core>
+std::function<void()> reloadSeeds(settings_file &file, Core &core)
+{
+    return [&file, &core] {
+        if (auto settings = file.reload("signal")) {
+            core.setSeeds(std::move(settings->seeds));
+        }
+    };
+}
+
 /// @brief How long a reader of the state waits for the control thread.
 inline constexpr duration stateLimit = std::chrono::seconds{2};
 
--- a/src/adapters/runtime.cpp
+++ b/src/adapters/runtime.cpp
@@ -26,6 +26,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return checkedDescriptor(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC), "signalfd");
 }
@@ -57,19 +58,20 @@
     m_pending.exchange(false); // acquires what the last notify() published
 }
 
-stop_signals::stop_signals()
+process_signals::process_signals()
     : m_descriptor{openSignals()}
 {}
 
-stop_signals::~stop_signals()
+process_signals::~process_signals()
 {
     close(m_descriptor);
 }
 
-void stop_signals::take() noexcept
+process_signal process_signals::take() noexcept
 {
     signalfd_siginfo information{};
     [[maybe_unused]] const auto taken = read(m_descriptor, &information, sizeof information);
+    return information.ssi_signo == SIGHUP ? process_signal::reload : process_signal::stop;
 }
 
 } // namespace bamboohead
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -27,6 +27,11 @@
     return text.starts_with(endpointScheme) && isAddress(text.substr(endpointScheme.size()));
 }
 
+bool isOptionalEndpoint(std::string_view text)
+{
+    return text.empty() || isEndpoint(text);
+}
+
 bool isHost(std::string_view text)
 {
     const auto allowed = [](char c) {
@@ -143,6 +148,11 @@
                         "ZeroMQ endpoint that the process binds and that others connect to.",
                         isEndpoint,
                         [](auto &settings, auto value) { settings.endpoint = std::move(value); }),
+            textSetting("/bind", R"("")", "tcp://host:port, or empty",
+                        "Endpoint to bind when others reach the process by another one, as behind "
+                        "a proxy; when empty, /endpoint is bound.",
+                        isOptionalEndpoint,
+                        [](auto &settings, auto value) { settings.bind = std::move(value); }),
             listSetting("/seeds", "up to 16 of tcp://host:port",
                         "Endpoints of entries to contact at start; an entry alone has none.",
                         maxSeeds, isEndpoint,
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -33,6 +33,11 @@
     m_impl->tick();
 }
 
+void agent_core::setSeeds(std::vector<std::string> endpoints)
+{
+    m_impl->setSeeds(std::move(endpoints));
+}
+
 void agent_core::stop()
 {
     m_impl->stop();
--- a/src/commands/processes.cpp
+++ b/src/commands/processes.cpp
@@ -15,6 +15,8 @@
 
 int runWith(const std::string &file, bool checkOnly, process_function run)
 {
+    // Settings may change while the process starts; the default action would end it.
+    (void)std::signal(SIGHUP, SIG_IGN);
     const auto result = loadSettings(file);
     if (const auto *const faults = std::get_if<std::vector<config_fault>>(&result)) {
         for (const auto &fault : *faults) {
@@ -42,8 +44,6 @@
 
 int dispatchCommand(int argc, char **argv, const std::string &help, process_function run)
 {
-    // Settings may change while the process starts; the default action would end it.
-    (void)std::signal(SIGHUP, SIG_IGN);
     const int status = processCommand(argc, argv, help, run);
     // Destructors of static objects join the log library's worker threads, which was seen not to
     // return on the users' platform. All work is done and the log is written.
@@ -56,16 +56,12 @@
 
 int entryCommand(int argc, char **argv)
 {
-    return processCommand(
-            argc, argv, "Runs an entry, which accepts and places jobs.",
-            [](const process_settings &settings, const std::string &) { runEntry(settings); });
+    return processCommand(argc, argv, "Runs an entry, which accepts and places jobs.", runEntry);
 }
 
 int agentCommand(int argc, char **argv)
 {
-    return processCommand(
-            argc, argv, "Runs an agent beside a target.",
-            [](const process_settings &settings, const std::string &) { runAgent(settings); });
+    return processCommand(argc, argv, "Runs an agent beside a target.", runAgent);
 }
 
 int dispatchEntryCommand(int argc, char **argv)
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -80,6 +80,7 @@
                            {"cpu_millis", std::to_string(report.capacity.cpuMillis)},
                            {"runs_lost", std::to_string(m_runs.size())}});
     m_target = report;
+    m_lifeBegan = m_clock.now();
     m_left = false;
     m_cleared = false;
     ++m_fence;
@@ -193,6 +194,15 @@
     return m_clockSample.value_or(0) + slowest > m_leaseEnd + toMilliseconds(m_limits.lapseMargin);
 }
 
+/// A start of the earlier lifetime may have been carried out just before this one became known. Its
+/// lease end is on another clock, so only the longest lease bounds it.
+bool target_session::earlierStartsSurelyOver() const
+{
+    const auto longest =
+            m_limits.longestLease * (perMille + m_limits.clockDriftPerMille) / perMille;
+    return m_clock.now() - m_lifeBegan > longest + m_limits.lapseMargin;
+}
+
 void target_session::sendList(bool waits)
 {
     const auto wait = waits ? m_limits.listWait : duration{};
@@ -242,7 +252,7 @@
 void target_session::loseLapsedRuns()
 {
     const bool silent = !m_lastListing || m_clock.now() - *m_lastListing > m_limits.silenceLimit;
-    if (m_runs.empty() || !silent || !leaseSurelyOver()) {
+    if (m_runs.empty() || !silent || !leaseSurelyOver() || !earlierStartsSurelyOver()) {
         return;
     }
     log("lease_lapsed", {{"target", m_target->life.id},
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -227,6 +227,11 @@
     m_impl->tick();
 }
 
+void entry_core::setSeeds(std::vector<std::string> endpoints)
+{
+    m_impl->ctx.options.seeds = std::move(endpoints);
+}
+
 void entry_core::stop()
 {
     m_impl->ending.begin();
--- a/tests/entry_members_test.cpp
+++ b/tests/entry_members_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace bamboohead;
 using namespace std::chrono_literals;
 
@@ -25,3 +27,21 @@
         CHECK(lists[number] <= 9);
     }
 }
+
+TEST_CASE("new seeds are greeted while the process runs")
+{
+    // Guards against settings that are read again on SIGHUP and not used: an entry whose seeds were
+    // replaced would then stay alone.
+    manual_clock time;
+    entry_options options;
+    options.self = {incarnation_id{1}, "e1", wire::ROLE_ENTRY, "graz"};
+    entry_core core{options, time};
+    core.setSeeds({"e9"});
+    time.advance(5s);
+    core.tick();
+    const auto actions = core.takeActions();
+    CHECK(std::ranges::any_of(actions, [](const entry_action &action) {
+        const auto *const message = std::get_if<send_message>(&action);
+        return message != nullptr && message->endpoint == "e9" && message->envelope.has_hello();
+    }));
+}
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real processes: faults come from outside, promises are checked from outside."""
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,196 @@
+"""Random faults; each runs for a while and is taken back. Several may run at the same time."""
+
+import asyncio
+import signal
+
+USUAL = {"speed": 1.0, "fail_share": 0.0, "hang_share": 0.0, "unhealthy": False, "late_share": 0.0,
+         "lost_share": 0.0}  # of a target without faults
+AFTERMATH_S = 3.0  # rules with a time bound do not hold for this long after a fault
+
+
+class Faults:
+    def __init__(self, run):
+        self.run = run
+        self.random = run.random
+        self.kinds = [self.kill, self.kill_many, self.terminate, self.roll, self.pause, self.hang_up,
+                      self.messages, self.mute, self.store_cut, self.store_down, self.store_slow,
+                      self.store_lost, self.store_forgets, self.store_revokes, self.target_crash,
+                      self.target_leaves, self.target_slow, self.target_fails, self.target_hangs,
+                      self.target_unhealthy, self.calls_late, self.calls_lost, self.zone_out,
+                      self.routes_change, self.burst]
+
+    def disturb(self, process, seconds):
+        """Time bounds do not hold near the process, nor for targets while an entry is disturbed."""
+        for target in self.run.targets_near(process):
+            self.run.observer.disturb(target.name, seconds + AFTERMATH_S)
+
+    def some(self, things, most):
+        return self.random.sample(things, self.random.randint(1, min(most, len(things))))
+
+    async def restart(self, process, pause_s):
+        await asyncio.sleep(pause_s)
+        if not self.run.ending:
+            process.start()
+
+    async def kill(self, seconds):
+        process = self.random.choice(self.run.fleet.processes)
+        self.disturb(process, seconds)
+        await process.kill()
+        await self.restart(process, self.random.uniform(0.05, seconds))
+
+    async def kill_many(self, seconds):
+        processes = self.some(self.run.fleet.processes, len(self.run.fleet.processes))
+        for process in processes:
+            self.disturb(process, 1.0)
+            await process.kill()
+        for process in processes:
+            await self.restart(process, 0.02)
+
+    async def terminate(self, seconds):
+        process = self.random.choice(self.run.fleet.processes)
+        self.disturb(process, 6.0 + seconds)
+        if fault := await process.stop():
+            self.run.observer.violate("STOP", fault)
+        await self.restart(process, self.random.uniform(0.05, 1.0))
+
+    async def roll(self, seconds):
+        for process in self.some(self.run.fleet.processes, 4):
+            if not process.running() or self.run.ending:
+                continue
+            self.disturb(process, 7.0)
+            if fault := await process.stop():
+                self.run.observer.violate("STOP", fault)
+            await self.restart(process, 0.05)
+
+    async def pause(self, seconds):
+        processes = self.some(self.run.fleet.processes, 3)
+        for process in processes:
+            self.disturb(process, seconds)
+            process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        for process in processes:
+            process.send(signal.SIGCONT)
+
+    async def hang_up(self, seconds):
+        for process in self.some(self.run.fleet.processes, len(self.run.fleet.processes)):
+            process.write_settings()
+            process.send(signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+
+    async def messages(self, seconds):
+        mode = self.random.choice(["delay", "silent", "to_server_blocked", "from_server_blocked",
+                                   "refuse", "reset"])
+        processes = self.some(self.run.fleet.processes, 4)
+        for process in processes:
+            self.disturb(process, seconds)
+            process.inbox.delay_s = self.random.uniform(0.01, 0.4)
+            process.inbox.mode = "pass" if mode == "reset" else mode
+            process.inbox.reset(1.0 if mode in ("reset", "refuse") else 0.0, self.random)
+        await asyncio.sleep(seconds)
+        for process in processes:
+            process.inbox.mode = "pass"
+
+    async def mute(self, seconds):
+        for process in self.run.fleet.processes:
+            self.disturb(process, 10.0)  # a muted connection is found dead by pings after 5 s
+            process.inbox.mute(0.4, self.random)
+            process.store.mute(0.4, self.random)
+
+    async def store_cut(self, seconds):
+        processes = self.some(self.run.fleet.processes, len(self.run.fleet.processes))
+        for process in processes:
+            self.disturb(process, seconds)
+            process.store.mode = self.random.choice(["silent", "refuse", "from_server_blocked"])
+            process.store.reset(1.0 if process.store.mode == "refuse" else 0.0, self.random)
+        await asyncio.sleep(seconds)
+        for process in processes:
+            process.store.mode = "pass"
+
+    def disturb_all(self, seconds):
+        for process in self.run.fleet.processes:
+            self.disturb(process, seconds)
+
+    async def store_down(self, seconds):
+        self.disturb_all(seconds)
+        self.run.store.lapse = self.random.random() < 0.5
+        self.run.store.fault = self.random.choice(["busy", "silent", "reset"])
+        await asyncio.sleep(seconds)
+        self.run.store.fault = "none"
+
+    async def store_slow(self, seconds):
+        self.disturb_all(seconds)
+        self.run.store.delay_s = self.random.uniform(0.1, 0.6)
+        await asyncio.sleep(seconds)
+        self.run.store.delay_s = 0.0
+
+    async def store_lost(self, seconds):
+        self.run.store.lost_share = 0.4
+        await asyncio.sleep(seconds)
+        self.run.store.lost_share = 0.0
+
+    async def store_forgets(self, seconds):
+        self.run.store.drop_history()
+
+    async def store_revokes(self, seconds):
+        self.run.store.revoke("bamboohead/")
+
+    async def target_crash(self, seconds):
+        for target in self.some(self.run.targets, 3):
+            if target.down:
+                continue
+            target.crash()
+            new_id = self.random.random() < 0.4
+            await asyncio.sleep(self.random.uniform(0.02, 1.5))
+            if target.down:
+                target.begin_life(new_id)
+
+    async def target_leaves(self, seconds):
+        target = self.random.choice(self.run.targets)
+        if not target.down and not target.draining:
+            await target.leave(2.5)
+
+    async def with_targets(self, seconds, most, **fields):
+        targets = self.some(self.run.targets, most)
+        for target in targets:
+            for name, value in fields.items():
+                setattr(target, name, value)
+        await asyncio.sleep(seconds)
+        for target in targets:
+            for name in fields:
+                setattr(target, name, USUAL[name])
+
+    async def target_slow(self, seconds):
+        await self.with_targets(seconds, 3, speed=6.0)
+
+    async def target_fails(self, seconds):
+        await self.with_targets(seconds, 2, fail_share=1.0)
+
+    async def target_hangs(self, seconds):
+        await self.with_targets(seconds, 2, hang_share=0.8)
+
+    async def target_unhealthy(self, seconds):
+        await self.with_targets(seconds, 2, unhealthy=True)
+
+    async def calls_late(self, seconds):
+        await self.with_targets(seconds, len(self.run.targets), late_share=0.2)
+
+    async def calls_lost(self, seconds):
+        await self.with_targets(seconds, len(self.run.targets), lost_share=0.2)
+
+    async def zone_out(self, seconds):
+        zone = self.random.choice(self.run.zones)
+        if zone in self.run.observer.zones_out:
+            return
+        await self.run.take_zone_out(zone)
+        await asyncio.sleep(seconds + 5.0)
+        await self.run.bring_zone_back(zone)
+
+    async def routes_change(self, seconds):
+        for _ in range(self.random.randint(1, 5)):
+            await self.run.change_routes()
+            await asyncio.sleep(0.2)
+
+    async def burst(self, seconds):
+        self.run.callers.rate *= 3
+        await asyncio.sleep(seconds)
+        self.run.callers.rate /= 3
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -235,6 +235,39 @@
     CHECK(fixture.session.ready());
 }
 
+TEST_CASE("the report of a new lifetime does not tell what happened to the runs")
+{
+    // Guards against taking the lease of the earlier lifetime as lapsed before the first listing of
+    // the new one: a start that was carried out late is at work there, and its task would get a
+    // second run elsewhere (soak seed 4).
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.session.report(fixture.target.report(fixture.time.now()));
+    fixture.pass(500ms);
+    CHECK(fixture.target.running().size() == 1);
+    CHECK(fixture.ends.empty());
+    CHECK(fixture.session.committed() == demand);
+}
+
+TEST_CASE("runs are lost when a new lifetime never answers")
+{
+    // Guards against runs that are held for ever: the longest lease has passed by then.
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.report(fixture.target.report(fixture.time.now()));
+    fixture.silent = true;
+    fixture.pass(900ms);
+    CHECK(fixture.ends.empty());
+    fixture.pass(400ms);
+    REQUIRE(fixture.ends.size() == 1);
+    CHECK(fixture.ends.front().how == session_end::kind::lost);
+}
+
 TEST_CASE("the end of a run is told although the reply to a list call is lost")
 {
     // Guards against ends that wait for the timeout of a list call, while orders go unanswered.
