Count each end once and in order; handle messages in windows of 2 ms; send fewer pulses

When a caller sends a cancelled job again to the same entry, its runs have the same names, and a repeated end of the first one counted for the second: the task was started again beside it. Ends with a number that was seen, or that leaves a gap, are now ignored; the next whole report fills the gap. Ruled out: the target's fence and the leases.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -22,7 +22,7 @@
     duration entryLease = std::chrono::milliseconds{600};
     /// Orders whose sender knew less than this long ago are accepted.
     duration orderAge = std::chrono::milliseconds{600};
-    duration busyPulse = std::chrono::milliseconds{100}; ///< to entries with runs here
+    duration busyPulse = std::chrono::milliseconds{150}; ///< to entries with runs here
     duration idlePulse = std::chrono::milliseconds{500}; ///< to other entries
     /// Entries with runs here are told early when the demand of running tasks has changed by this
     /// part of the capacity, in percent: with older figures several of them choose the same agent.
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -23,7 +23,9 @@
 /// @brief Times of an entry that serves jobs by resources.
 struct dispatch_entry_limits
 {
-    duration busyPulse = std::chrono::milliseconds{100}; ///< to agents with runs of this entry
+    /// To agents with runs of this entry. An agent's knowledge of the entry is then at most two
+    /// pulses old, and one lost pulse does not reach the 600 ms after which runs are stopped.
+    duration busyPulse = std::chrono::milliseconds{150};
     duration idlePulse = std::chrono::milliseconds{500}; ///< to other agents and to entries
     duration stopRepeat = std::chrono::milliseconds{200};
     /// Without a message from an agent for this long its runs have ended: the agent stops them
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -30,6 +30,11 @@
 /// @brief Period of the cores' periodic systems.
 inline constexpr duration dispatchTick = std::chrono::milliseconds{20};
 
+/// @brief Least time between two passes: what arrives meanwhile is handled together. Each pass costs
+///        system calls and a look at all agents, which the smallest entries cannot afford for each
+///        message; two milliseconds are small against the shortest response-time objective.
+inline constexpr duration passWindow = std::chrono::milliseconds{2};
+
 /// @brief Period in which the settings file is looked at and the metrics are brought up to date.
 inline constexpr duration slowTick = std::chrono::seconds{1};
 
@@ -62,6 +67,7 @@
         , m_signals{m_context, SIGTERM, SIGINT, SIGHUP}
         , m_inbox{m_context, m_messages.descriptor()}
         , m_tick{m_context}
+        , m_window{m_context}
         , m_slowTick{m_context}
         , m_server{settings.http, ownInterfaceThreads, m_metrics, m_draining,
                    [this] { return dump(); }}
@@ -84,13 +90,24 @@
     /// @brief Whether the process may exit although its shutdown is complete otherwise.
     void onExit(std::function<bool()> mayExit) { m_mayExit = std::move(mayExit); }
 
-    /// @brief Carries out the core's actions after all inputs that have arrived by now.
+    /// @brief Carries out the core's actions after all inputs that arrive in this pass's window.
     void wake()
     {
-        if (!m_passDue) {
-            m_passDue = true;
+        if (m_passDue) {
+            return;
+        }
+        m_passDue = true;
+        const auto next = m_lastPass + passWindow;
+        if (std::chrono::steady_clock::now() >= next) {
             boost::asio::post(m_context, [this] { pass(); });
+            return;
         }
+        m_window.expires_at(next);
+        m_window.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                pass();
+            }
+        });
     }
 
     /// @brief Runs until the core's shutdown is complete.
@@ -111,9 +128,13 @@
     void pass()
     {
         m_passDue = false;
+        m_lastPass = std::chrono::steady_clock::now();
         m_messages.receiveAll([this](const wire::Envelope &envelope) { m_core.receive(envelope); },
                               maxInputsPerPass);
         performAll();
+        if (!std::exchange(m_inboxAwaited, true)) {
+            awaitMessages();
+        }
     }
 
     void performAll()
@@ -139,8 +160,8 @@
         m_inbox.async_wait(boost::asio::posix::stream_descriptor::wait_read,
                            [this](boost::system::error_code error) {
                                if (!error) {
-                                   pass();
-                                   awaitMessages();
+                                   m_inboxAwaited = false;
+                                   wake();
                                }
                            });
     }
@@ -282,6 +303,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::posix::stream_descriptor m_inbox;
     boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_window;
     boost::asio::steady_timer m_slowTick;
     process_metrics m_metrics;
     std::atomic<bool> m_draining{false};
@@ -290,7 +312,9 @@
     std::function<void()> m_handleTick;
     std::function<void()> m_handleStop;
     std::function<bool()> m_mayExit;
+    std::chrono::steady_clock::time_point m_lastPass;
     bool m_passDue = false;
+    bool m_inboxAwaited = true;
     bool m_complete = false;
 };
 
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -57,10 +57,18 @@
         agent.endsSeen = 0;
     }
     updateView(agent, report);
+    // Each end counts once and in order; the next whole report repeats what is missing. A repeated
+    // end must not be taken for that of a later run: a job that its caller sends again after it was
+    // cancelled has runs of the same names.
+    if (report.reconcile() && !report.ends().empty()) {
+        // Whole reports begin with the oldest end that this entry has not acknowledged. Those before
+        // it were acknowledged before this view of the agent was made.
+        agent.endsSeen = std::max(agent.endsSeen, report.ends(0).number() - 1);
+    }
     for (const auto &end : report.ends()) {
-        runEnded(agent, end);
         if (end.number() == agent.endsSeen + 1) {
             agent.endsSeen = end.number();
+            runEnded(agent, end);
         }
     }
     if (report.reconcile() && report.peer_epoch() == agent.epoch) {
--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -145,7 +145,7 @@
         CAPTURE(seed);
         fleet_simulation::options options;
         options.seed = seed;
-
+        options.trace = std::getenv("DISPATCH_TRACE") != nullptr;
         const auto result = runSchedule(options);
         for (const auto &violation : result.violations) {
             CAPTURE(violation);
@@ -157,6 +157,18 @@
     }
 }
 
+TEST_CASE("dispatch schedule: seeds that failed once")
+{
+    // 1032: a new lifetime of the target was taken to have lost a run that was at work in it.
+    // 1100: a repeated end of a cancelled job's run was taken for that of the job's next run.
+    for (const std::uint64_t seed : {1032, 1100}) {
+        CAPTURE(seed);
+        fleet_simulation::options options;
+        options.seed = seed;
+        CHECK(runSchedule(options).violations.empty());
+    }
+}
+
 TEST_CASE("dispatch schedule: the checks find runs that outlive their entry's lease")
 {
     // Without this lease the runs of a lost entry go on while its callers send their jobs again.
