--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -66,6 +66,16 @@
     double mostSlowness = 0; ///< slower targets would end the task too late
 };
 
+/// @brief An agent that may run the tasks of a step, while they are placed.
+struct placement_candidate
+{
+    agent_view *agent = nullptr;
+    resources ahead; ///< demand that a further task finds before it
+    double slowness = 1.0;
+    double preference = 1.0; ///< higher for targets near the data
+    std::uint32_t tasks = 0; ///< of the step that are there
+};
+
 /// @brief Agents known to an entry, and the choice among them.
 class agent_pool
 {
@@ -82,12 +92,18 @@
     }
     void forget(incarnation_id agent);
 
-    /// @brief Chooses an agent with room for a task now, else one with room in its queue.
+    /// @brief Agents that may run the tasks of a step. It is a look at all agents, so it is made
+    ///        once for all tasks of a step.
+    [[nodiscard]] std::vector<placement_candidate> candidates(const placement_request &request);
+    /// @brief Chooses an agent with room for a task now, else one with room in its queue, and takes
+    ///        the room.
     ///
     /// Among agents with room the choice is random, weighted by free processors: entries with the
     /// same view would otherwise all choose the same agent.
+    /// @param request Of the step for which the candidates were found; its `avoid` is the task's.
     /// @return Null when no agent has room.
-    [[nodiscard]] agent_view *choose(const placement_request &request);
+    [[nodiscard]] agent_view *choose(std::vector<placement_candidate> &candidates,
+                                     const placement_request &request);
 
     /// @brief Whether an agent may get orders.
     [[nodiscard]] bool usable(const agent_view &agent) const;
@@ -101,6 +117,8 @@
     [[nodiscard]] resources capacity(std::string_view service) const;
 
 private:
+    [[nodiscard]] placement_candidate *pick(std::vector<placement_candidate> &candidates,
+                                            const placement_request &request);
     [[nodiscard]] bool fits(const agent_view &agent, const placement_request &request) const;
     [[nodiscard]] static std::uint32_t tasksOf(const agent_view &agent,
                                                const placement_request &request);
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -160,8 +160,7 @@
     void setTimes(job_record &job) const;
     [[nodiscard]] duration expectedWait(const queue_key &key, const job_record &job) const;
     [[nodiscard]] std::uint64_t waitingWork(const job_record &job) const;
-    [[nodiscard]] placement_request requestFor(const job_record &job, std::uint32_t step,
-                                               std::uint32_t index) const;
+    [[nodiscard]] placement_request requestFor(const job_record &job, std::uint32_t step) const;
     [[nodiscard]] duration backlog() const;
     void shedLateJobs();
     void resumeEnding(job_record &job, caller_request request);
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -99,52 +99,79 @@
     });
 }
 
-agent_view *agent_pool::choose(const placement_request &request)
+std::vector<placement_candidate> agent_pool::candidates(const placement_request &request)
 {
-    std::vector<std::pair<agent_view *, double>> idle;
-    double weights = 0;
-    agent_view *fallback = nullptr;
-    double fallbackCost = 0;
-    const auto &demand = request.work->demand;
+    std::vector<placement_candidate> found;
+    const auto now = m_member.now();
     for (auto &[incarnation, agent] : m_agents) {
         if (!fits(agent, request)) {
             continue;
         }
-        const auto slowness = agent.pace.slowness(m_member.now());
+        const auto slowness = agent.pace.slowness(now);
         if (slowness > std::max(request.mostSlowness, ordinarySlowness)) {
             continue;
         }
-        const auto used = agent.ahead(request.priority);
-        const auto free = agent.capacity - used;
-        const bool fitsNow = demand.fitsIn(free);
-        if (fitsNow && incarnation != request.avoid && slowness < ordinarySlowness) {
-            const auto &label = request.work->preferredLabel;
-            const bool near = !label.empty() && hasLabel(agent, label);
+        const auto &label = request.work->preferredLabel;
+        const bool near = !label.empty() && hasLabel(agent, label);
+        found.push_back({&agent, agent.ahead(request.priority), slowness,
+                         near ? preferredWeight : 1.0, tasksOf(agent, request)});
+    }
+    return found;
+}
+
+agent_view *agent_pool::choose(std::vector<placement_candidate> &candidates,
+                               const placement_request &request)
+{
+    auto *const chosen = pick(candidates, request);
+    if (chosen == nullptr) {
+        return nullptr;
+    }
+    chosen->ahead += request.work->demand;
+    ++chosen->tasks;
+    return chosen->agent;
+}
+
+placement_candidate *agent_pool::pick(std::vector<placement_candidate> &candidates,
+                                      const placement_request &request)
+{
+    std::vector<std::pair<placement_candidate *, double>> idle;
+    double weights = 0;
+    placement_candidate *fallback = nullptr;
+    double fallbackCost = 0;
+    const auto &work = *request.work;
+    for (auto &candidate : candidates) {
+        if (work.mostPerTarget != 0 && candidate.tasks >= work.mostPerTarget) {
+            continue;
+        }
+        const auto &agent = *candidate.agent;
+        const auto free = agent.capacity - candidate.ahead;
+        if (work.demand.fitsIn(free) && agent.incarnation != request.avoid &&
+            candidate.slowness < ordinarySlowness) {
             const auto weight = static_cast<double>(std::max<std::uint64_t>(1, free.cpuMillis)) *
-                                (near ? preferredWeight : 1.0) / (slowness * slowness);
-            idle.emplace_back(&agent, weight);
+                                candidate.preference / (candidate.slowness * candidate.slowness);
+            idle.emplace_back(&candidate, weight);
             weights += weight;
             continue;
         }
         auto extended = agent.capacity;
         extended.cpuMillis += extended.cpuMillis * queuePercent / percent;
-        const auto room = extended - used;
-        const auto cost =
-                slowness / static_cast<double>(std::max<std::uint64_t>(1, room.cpuMillis));
-        if (demand.fitsIn(room) && (fallback == nullptr || cost < fallbackCost)) {
+        const auto room = extended - candidate.ahead;
+        const auto cost = candidate.slowness /
+                          static_cast<double>(std::max<std::uint64_t>(1, room.cpuMillis));
+        if (work.demand.fitsIn(room) && (fallback == nullptr || cost < fallbackCost)) {
             fallbackCost = cost;
-            fallback = &agent;
+            fallback = &candidate;
         }
     }
     if (idle.empty()) {
         return fallback;
     }
-    auto pick = std::uniform_real_distribution<double>{0, weights}(m_random);
-    for (const auto &[agent, weight] : idle) {
-        if (pick < weight) {
-            return agent;
+    auto draw = std::uniform_real_distribution<double>{0, weights}(m_random);
+    for (const auto &[candidate, weight] : idle) {
+        if (draw < weight) {
+            return candidate;
         }
-        pick -= weight;
+        draw -= weight;
     }
     return idle.back().first;
 }
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t percent = 100;
 constexpr std::size_t maxEndsPerReport = 500;
+constexpr std::int64_t changePulseEntries = 4; ///< for which the pause of early reports is meant
 constexpr duration deadEntryLimit = std::chrono::seconds{3};
 
 } // namespace
@@ -434,17 +435,22 @@
         const auto interval = hasRunsOf(incarnation) || !entry.unacked.empty()
                                       ? m_options.limits.busyPulse
                                       : m_options.limits.idlePulse;
-        const bool pulse = now - entry.lastReport >= interval;
+        const auto sincePulse = now - entry.lastReport;
         const bool changed = interval == m_options.limits.busyPulse && figuresChanged(entry);
-        if (pulse || entry.unsent > 0 || changed) {
-            sendReport(incarnation, entry, pulse);
+        if (sincePulse >= interval || entry.unsent > 0 || changed) {
+            // A report that goes out anyway is the whole one that would follow soon.
+            sendReport(incarnation, entry, sincePulse >= interval / 2);
         }
     }
 }
 
 bool dispatch_agent::figuresChanged(const entry_link &link) const
 {
-    if (!m_session.target() || m_member.now() - link.lastFigures < m_options.limits.changePulse) {
+    // All entries together get as many of these reports as few entries do: an entry hears each of
+    // its agents, and the share of an agent that it fills itself shrinks with their number.
+    const auto pause = m_options.limits.changePulse *
+                       std::max<std::int64_t>(1, std::ssize(m_entries) / changePulseEntries);
+    if (!m_session.target() || m_member.now() - link.lastFigures < pause) {
         return false;
     }
     const auto running = m_session.committed().cpuMillis;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -219,10 +219,12 @@
         const auto interval =
                 agent.outstanding.empty() ? m_options.limits.idlePulse : m_options.limits.busyPulse;
         const auto draft = m_drafts.find(incarnation);
-        const bool due = now - agent.lastPulse >= interval;
-        if (!due && draft == m_drafts.end()) {
+        const auto sincePulse = now - agent.lastPulse;
+        if (sincePulse < interval && draft == m_drafts.end()) {
             continue;
         }
+        // A message that goes out anyway carries the pulse that would follow soon.
+        const bool due = sincePulse >= interval / 2;
         wire::Envelope envelope;
         auto &message = *envelope.mutable_dispatch_orders();
         if (draft != m_drafts.end()) {
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -110,8 +110,7 @@
     }
 }
 
-placement_request dispatch_entry::requestFor(const job_record &job, std::uint32_t step,
-                                             std::uint32_t index) const
+placement_request dispatch_entry::requestFor(const job_record &job, std::uint32_t step) const
 {
     placement_request request;
     request.job = job.job.id;
@@ -119,7 +118,6 @@
     request.work = &job.job.steps[step];
     request.service = job.route.service;
     request.priority = job.route.priority;
-    request.avoid = job.steps[step].tasks[index].avoid;
     const auto expected = m_times.expected(job.route.name, request.work->estimate);
     const auto objectives = job.late ? m_options.limits.usefulObjectives : 1;
     const auto left = job.received + job.objective * objectives - m_member.now();
@@ -136,9 +134,12 @@
         if (step.waiting.empty() || !stepReady(job, number)) {
             continue;
         }
+        auto request = requestFor(job, number);
+        auto candidates = m_pool.candidates(request);
         while (!step.waiting.empty()) {
             const auto index = step.waiting.back();
-            auto *const agent = m_pool.choose(requestFor(job, number, index));
+            request.avoid = step.tasks[index].avoid;
+            auto *const agent = m_pool.choose(candidates, request);
             if (agent == nullptr) {
                 return false;
             }
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -102,7 +102,7 @@
         agent.pace.slowness(m_member.now()) < replacedSlowness) {
         return;
     }
-    auto request = requestFor(found->second, ref.task.step, ref.task.index);
+    auto request = requestFor(found->second, ref.task.step);
     request.avoid = agent.incarnation;
     if (!m_pool.hasIdle(request)) {
         return;
