--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/fleet_simulation.hpp"
+#include "dispatch/manual_jobs.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -12,19 +13,6 @@
 constexpr duration resendAfter = 1'300ms; ///< the platform's callers send a lost job again
 constexpr resources targetCapacity{32'000, 65'536, 0};
 
-dispatch_route quoteRoute()
-{
-    dispatch_route route;
-    route.name = "quotes";
-    route.host = "desk.example";
-    route.prefix = "/quotes/";
-    route.service = "quotes";
-    route.maxAttempts = 3;
-    route.stretch = 10;
-    route.targetLatency = 5s;
-    return route;
-}
-
 } // namespace
 
 struct fleet_simulation::process
--- a/tests/dispatch/manual_jobs.hpp
+++ b/tests/dispatch/manual_jobs.hpp
@@ -5,6 +5,20 @@
 
 namespace bamboohead::dispatch_test {
 
+/// @brief The route `quotes`; its jobs may wait for seconds before they are late.
+inline dispatch_route quoteRoute()
+{
+    dispatch_route route;
+    route.name = "quotes";
+    route.host = "desk.example";
+    route.prefix = "/quotes/";
+    route.service = "quotes";
+    route.maxAttempts = 3;
+    route.stretch = 10;
+    route.targetLatency = std::chrono::seconds{5};
+    return route;
+}
+
 /// @brief A desired state with the route and service `quotes`.
 inline desired_state stateWithOneRoute()
 {
@@ -12,14 +26,7 @@
     state.revision = 1;
     state.version = 1;
     state.services = {"quotes"};
-    dispatch_route route;
-    route.name = "quotes";
-    route.host = "desk.example";
-    route.prefix = "/quotes/";
-    route.service = "quotes";
-    route.maxAttempts = 2;
-    route.stretch = 30.0; // jobs wait for seconds before they are late
-    state.routes = {route};
+    state.routes = {quoteRoute()};
     return state;
 }
 
