--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -30,10 +30,10 @@
 /// @brief Period of the cores' periodic systems.
 inline constexpr duration dispatchTick = std::chrono::milliseconds{20};
 
-/// @brief Least time between two passes: what arrives meanwhile is handled together. Each pass
-/// costs
-///        system calls and a look at all agents, which the smallest entries cannot afford for each
-///        message; two milliseconds are small against the shortest response-time objective.
+/// @brief Least time between two passes: what arrives meanwhile is handled together.
+///
+/// Each pass costs system calls and a look at all agents, which the smallest entries cannot afford
+/// for each message. Two milliseconds are small against the shortest response-time objective.
 inline constexpr duration passWindow = std::chrono::milliseconds{2};
 
 /// @brief Period in which the settings file is looked at and the metrics are brought up to date.
