Wake the soak store's watches in one place; drop an unused list of proxy modes

Found by reading the change again: the notification of waiting watches was written four times, and the tuple of modes was never read; the modes stand in the class's comment now. No check changed.

--- a/tests/soak/platform_store.py
+++ b/tests/soak/platform_store.py
@@ -67,11 +67,13 @@
 
     async def put(self, key, value, lease=0):
         self.write(key, value, lease)
-        async with self.changed:
-            self.changed.notify_all()
+        await self.wake_watches()
 
     async def remove(self, key):
         self.erase(key)
+        await self.wake_watches()
+
+    async def wake_watches(self):
         async with self.changed:
             self.changed.notify_all()
 
@@ -120,8 +122,7 @@
         del self.leases[number]
         for key in [k for k, item in self.items.items() if item["lease"] == number]:
             self.erase(key)
-        async with self.changed:
-            self.changed.notify_all()
+        await self.wake_watches()
 
     # Calls
 
@@ -169,8 +170,7 @@
             self.write(write["key"], base64.b64decode(write["value"]), write.get("lease", 0))
         for key in body.get("remove", []):
             self.erase(key)
-        async with self.changed:
-            self.changed.notify_all()
+        await self.wake_watches()
         return web.json_response({"revision": self.revision})
 
     async def grant(self, request):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,11 +5,13 @@
 import struct
 
 GATE_INTERVAL_S = 0.01
-MODES = ("pass", "delay", "silent", "to_server_blocked", "from_server_blocked", "refuse")
 
 
 class Proxy:
-    """Forwards connections to `target`; `mode` and `delay_s` apply to open connections as well."""
+    """Forwards connections to `target`; `mode` and `delay_s` apply to open connections as well.
+
+    Modes: pass, delay, silent, to_server_blocked, from_server_blocked, refuse (new connections).
+    """
 
     def __init__(self, target):
         self.target = target
