Check an agent's permission to start a task where the request is written

Change: run_task carries the end of the proof on which the start was decided. The thread compares it with the clock before it connects and again when the body of the request is written; the target starts no task before it has the whole body. A late task is reported as not started, so it is placed elsewhere. No bound grows: the limit is the age of the proof itself.

The new test fails without the check: the target runs the expired task.

--- a/include/bamboohead/action.hpp
+++ b/include/bamboohead/action.hpp
@@ -53,6 +53,9 @@
     std::string service;
     std::string payload;
     duration timeout; ///< remaining time until the job's deadline
+    /// When the proof on which the start was decided expires. The task must not start later, also
+    /// when the process is suspended between the decision and the start.
+    time_point validUntil = time_point::max();
 };
 
 /// @brief Signals that the graceful shutdown has finished and the process may exit.
--- a/include/bamboohead/config_state.hpp
+++ b/include/bamboohead/config_state.hpp
@@ -63,6 +63,10 @@
     ///        older than `maxProofAge`.
     [[nodiscard]] bool agentCurrent() const;
 
+    /// @brief Time until which agentCurrent() holds without a newer proof. The epoch when there is
+    ///        no proof.
+    [[nodiscard]] time_point agentProofEnd() const;
+
     /// @brief Whether the zone is in service according to the manifest; false without a manifest.
     [[nodiscard]] bool zoneInService(const std::string &zone) const;
 
--- a/include/bamboohead/target_client.hpp
+++ b/include/bamboohead/target_client.hpp
@@ -23,7 +23,8 @@
 ///        Thread-safe.
 ///
 /// A task is reported as not started only when the target's address is empty, no connection could
-/// be made, or the target responds with status 503 and `X-Not-Started: 1`. After any other failure
+/// be made, run_task::validUntil has passed before the body of the request was written, or the
+/// target responds with status 503 and `X-Not-Started: 1`. After any other failure
 /// the request may have been sent, and the task is reported as failed. No request is sent twice.
 class target_client
 {
--- a/src/adapters/target_client.cpp
+++ b/src/adapters/target_client.cpp
@@ -72,19 +72,28 @@
     return end;
 }
 
-/// HTTP request that runs a task. The result is limited to maxResultBytes and must arrive by the
-/// time `limit`; both are checked only when data of the body arrives. Connecting, writing and each
-/// read have the time-outs of the client in addition.
+/// HTTP request that runs a task. Whether the task may still start is checked immediately before
+/// the body is written, because the target starts no task before it has the whole body. The result
+/// is limited to maxResultBytes and must arrive by the time `limit`; both are checked only when
+/// data of the body arrives. Connecting, writing and each read have the time-outs of the client in
+/// addition.
 class run_request
 {
 public:
     run_request(const run_task &task, time_point limit, const clock &clock)
-        : m_limit{limit}
+        : m_payload{task.payload}
+        , m_validUntil{task.validUntil}
+        , m_limit{limit}
         , m_clock{clock}
     {
         m_request.method = "POST";
         m_request.path = "/v1/run";
-        m_request.body = task.payload;
+        m_request.content_length_ = m_payload.size();
+        m_request.content_provider_ = [this](std::size_t offset, std::size_t length,
+                                             httplib::DataSink &sink) {
+            m_expired = m_expired || m_clock.now() > m_validUntil;
+            return !m_expired && sink.write(m_payload.data() + offset, length);
+        };
         m_request.set_header("Content-Type", "text/plain");
         m_request.set_header("X-Job-Id", toText(task.ref.job));
         m_request.set_header("X-Task", std::to_string(task.ref.task));
@@ -96,9 +105,16 @@
     {
         httplib::Response response;
         auto error = httplib::Error::Success;
+        // Covers tasks without payload, whose request has no body.
+        if (m_clock.now() > m_validUntil) {
+            return expired(ref);
+        }
         if (client.send(m_request, response, error)) {
             return toTaskEnd(ref, response, std::move(m_body));
         }
+        if (m_expired) {
+            return expired(ref);
+        }
         if (m_resultTooLong) {
             return failure(ref, false, "the result of the target is too long");
         }
@@ -106,6 +122,11 @@
     }
 
 private:
+    static task_end expired(const task_ref &ref)
+    {
+        return failure(ref, true, "the permission to start the task expired before it was sent");
+    }
+
     bool appendBody(const char *data, std::size_t size)
     {
         m_resultTooLong = m_body.size() + size > maxResultBytes;
@@ -116,10 +137,13 @@
         return true;
     }
 
+    const std::string &m_payload;
+    time_point m_validUntil;
     time_point m_limit;
     const clock &m_clock;
     httplib::Request m_request;
     std::string m_body;
+    bool m_expired = false;
     bool m_resultTooLong = false;
 };
 
--- a/src/agent/agent_orders.cpp
+++ b/src/agent/agent_orders.cpp
@@ -237,6 +237,7 @@
     run.ref = order.ref;
     run.service = order.service;
     run.timeout = order.deadline - m_clock.now();
+    run.validUntil = m_config.agentProofEnd();
     run.payload = m_tasks.start(order);
     ++m_counters.tasksStarted;
     logTask("task_started", order.ref);
--- a/src/config_state.cpp
+++ b/src/config_state.cpp
@@ -70,6 +70,11 @@
     return m_version != config_version::none && within(m_entryProof);
 }
 
+time_point config_state::agentProofEnd() const
+{
+    return m_entryProof ? *m_entryProof + maxProofAge : time_point{};
+}
+
 bool config_state::zoneInService(const std::string &zone) const
 {
     const auto found = m_manifest.zones.find(zone);
--- a/tests/target_client_test.cpp
+++ b/tests/target_client_test.cpp
@@ -1,3 +1,4 @@
+#include "bamboohead/clock.hpp"
 #include "bamboohead/target_client.hpp"
 
 #include <doctest/doctest.h>
@@ -14,6 +15,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 /// Target whose response depends on the payload.
 class target_server
 {
@@ -115,7 +118,8 @@
 };
 
 /// Runs one task on the target at `address` and waits for its end.
-task_end runAt(const std::string &address, const std::string &payload)
+task_end runAt(const std::string &address, const std::string &payload,
+               time_point validUntil = time_point::max())
 {
     std::promise<task_end> promise;
     auto end = promise.get_future();
@@ -126,6 +130,7 @@
     task.ref.task = 4;
     task.payload = payload;
     task.timeout = std::chrono::seconds{5};
+    task.validUntil = validUntil;
     client.run(std::move(task));
     return end.get();
 }
@@ -175,6 +180,23 @@
     }
 }
 
+// Guards against an agent that was suspended between its decision to start a task and the sending
+// of the request, and that sends it afterwards although the zone was taken out meanwhile.
+TEST_CASE("a task whose permission to start has expired is not sent to the target")
+{
+    target_server target;
+    const steady_clock_source clock;
+    for (const auto *const payload : {"run", ""}) {
+        CAPTURE(payload);
+        const auto end = runAt(target.address(), payload, clock.now() - 1ms);
+        CHECK(end.notStarted);
+        CHECK_FALSE(end.failed);
+    }
+    CHECK(target.runs == 0);
+    CHECK_FALSE(runAt(target.address(), "run", clock.now() + 60s).notStarted);
+    CHECK(target.runs == 1);
+}
+
 // Guards against tasks that run one after the other although there are threads for all of them, and
 // against tasks whose outcome is not reported.
 TEST_CASE("as many tasks run concurrently as there are slots")
