Share a few connections for bursts of calls to a target

Cause: each concurrent call opened a connection, and all but four of them were closed after their response. Several starts that reach an agent in one message therefore cost new connections each time.

Change: while four connections to an address are in use, a further call waits up to 10 ms for one of them; then it opens another one, so that unanswered calls do not block others.

--- a/include/bamboohead/async_http_client.hpp
+++ b/include/bamboohead/async_http_client.hpp
@@ -24,6 +24,9 @@
 };
 
 /// @brief HTTP/1.1 client on the thread of an io_context, with a pool of persistent connections.
+///
+/// While four connections to an address are in use, a further call waits up to 10 ms for one of
+/// them before it opens another one.
 class async_http_client
 {
 public:
--- a/src/adapters/async_http_client.cpp
+++ b/src/adapters/async_http_client.cpp
@@ -1,10 +1,13 @@
 #include "bamboohead/async_http_client.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
+#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -20,7 +23,13 @@
 using boost::system::error_code;
 
 constexpr std::uint64_t maxResponseBytes = std::uint64_t{8} << 20U;
-constexpr std::size_t maxIdleConnections = 4; ///< kept for one address
+/// Connections to one address up to which a call opens a new one at once. With more, a call first
+/// waits for one of them: peers answer most calls within a millisecond, and limit or charge for new
+/// connections.
+constexpr std::size_t preferredConnections = 4;
+/// Longest wait of a call for a connection, after which a new one is opened. Calls that the peer
+/// does not answer then delay other calls only by this time.
+constexpr duration connectionWait = std::chrono::milliseconds{10};
 
 } // namespace
 
@@ -41,21 +50,20 @@
         pending->request.set(http::field::host, address);
         pending->request.keep_alive(true);
         pending->request.prepare_payload();
-        auto &idle = m_idleConnections[address];
-        if (!idle.empty()) {
-            pending->stream = std::move(idle.back());
-            idle.pop_back();
-            pending->stream->expires_after(timeout);
-            send(pending);
+        pending->deadline = std::chrono::steady_clock::now() + timeout;
+        auto &pool = m_connections[address];
+        if (pool.idle.empty() && pool.inUse >= preferredConnections) {
+            pool.waiting.push_back(pending);
+            awaitConnection(pending);
             return;
         }
-        connect(pending, timeout);
+        begin(pending);
     }
 
     void shutDown()
     {
         m_stopped = true;
-        m_idleConnections.clear();
+        m_connections.clear();
     }
 
 private:
@@ -69,6 +77,9 @@
         std::string address;
         http_client_request request;
         response_handler handler;
+        std::chrono::steady_clock::time_point deadline;
+        std::unique_ptr<asio::steady_timer>
+                waitTimer; ///< set while the call waits for a connection
         std::unique_ptr<beast::tcp_stream> stream;
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
@@ -76,14 +87,48 @@
 
     using pending_call_ptr = std::shared_ptr<pending_call>;
 
-    void connect(const pending_call_ptr &pending, duration timeout)
+    /// Connections to one address.
+    struct connection_pool
+    {
+        std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+        std::size_t inUse = 0;
+        std::deque<pending_call_ptr> waiting; ///< calls that wait for a connection, oldest first
+    };
+
+    void awaitConnection(const pending_call_ptr &pending)
+    {
+        pending->waitTimer = std::make_unique<asio::steady_timer>(m_context, connectionWait);
+        pending->waitTimer->async_wait([self = shared_from_this(), pending](error_code error) {
+            if (!error && !self->m_stopped &&
+                std::erase(self->m_connections[pending->address].waiting, pending) > 0) {
+                self->begin(pending);
+            }
+        });
+    }
+
+    /// Sends a call on an idle connection, or on a new one if there is none.
+    void begin(const pending_call_ptr &pending)
+    {
+        auto &pool = m_connections[pending->address];
+        ++pool.inUse;
+        if (pool.idle.empty()) {
+            connect(pending);
+            return;
+        }
+        pending->stream = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        pending->stream->expires_at(pending->deadline);
+        send(pending);
+    }
+
+    void connect(const pending_call_ptr &pending)
     {
         const auto colon = pending->address.rfind(':');
         error_code error;
         const auto host = asio::ip::make_address(pending->address.substr(0, colon), error);
         const auto port = std::strtoul(pending->address.c_str() + colon + 1, nullptr, 10);
         pending->stream = std::make_unique<beast::tcp_stream>(m_context);
-        pending->stream->expires_after(timeout);
+        pending->stream->expires_at(pending->deadline);
         if (error || colon == std::string::npos) {
             asio::post(m_context, [self = shared_from_this(), pending] {
                 self->finish(pending, http_call_end::not_sent);
@@ -130,19 +175,25 @@
             return;
         }
         const auto &response = pending->parser.get();
-        if (end == http_call_end::answered && response.keep_alive()) {
-            auto &idle = m_idleConnections[pending->address];
-            if (idle.size() < maxIdleConnections) {
-                pending->stream->expires_never();
-                idle.push_back(std::move(pending->stream));
-            }
+        auto &pool = m_connections[pending->address];
+        --pool.inUse;
+        if (end == http_call_end::answered && response.keep_alive() &&
+            pool.idle.size() < preferredConnections) {
+            pending->stream->expires_never();
+            pool.idle.push_back(std::move(pending->stream));
+        }
+        if (!pool.waiting.empty()) {
+            const auto next = std::move(pool.waiting.front());
+            pool.waiting.pop_front();
+            next->waitTimer->cancel();
+            begin(next);
         }
         const auto handler = std::move(pending->handler);
         handler(end, response);
     }
 
     asio::io_context &m_context;
-    std::map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>> m_idleConnections;
+    std::map<std::string, connection_pool> m_connections; ///< by address
     bool m_stopped = false;
 };
 
