Replace connections to silent peers instead of pinging all of them

Cause: ZeroMQ's own heartbeats sent a ping and a pong every 2 s on each connection, from both ends. With 55 entries and 240 agents that is about 29,000 connections, and more messages than those of the product, which has heartbeats of its own.

Change: no heartbeats of ZeroMQ. The transport replaces the connection to a peer from which nothing was received for 7 s while messages are sent to it; attempts to connect are limited to 2 s; TCP keep-alive removes dead incoming connections. The counter bamboohead_peers_reconnected_total shows it.

--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -20,6 +20,10 @@
 /// @brief Time without an outgoing message after which a peer is disconnected.
 inline constexpr duration peerIdleLimit = std::chrono::seconds{30};
 
+/// @brief Time without a message of a peer that has sent some, after which the connection to it is
+///        replaced. Processes send each other messages more often.
+inline constexpr duration peerSilenceLimit = std::chrono::seconds{7};
+
 /// @brief Time that messages wait for the first connection to a peer before they are dropped. A new
 ///        connection takes a few round trips, and ZeroMQ rejects messages before it is up.
 inline constexpr duration connectGrace = std::chrono::milliseconds{500};
@@ -42,10 +46,11 @@
     std::uint64_t malformed = 0; ///< received, but not a valid envelope
     /// Not sent: queue full, peer unreachable, message too long or endpoint malformed.
     std::uint64_t dropped = 0;
-    std::uint64_t peersOpened = 0;  ///< outgoing sockets, also to peers that were never reached
-    std::uint64_t peersClosed = 0;  ///< outgoing sockets closed because they were idle
-    traffic_by_kind sentByKind;     ///< split of `sent`; dropped messages are not counted
-    traffic_by_kind receivedByKind; ///< split of `received`
+    std::uint64_t peersOpened = 0;      ///< outgoing sockets, also to peers that were never reached
+    std::uint64_t peersClosed = 0;      ///< outgoing sockets closed because they were idle
+    std::uint64_t peersReconnected = 0; ///< outgoing sockets replaced because the peer was silent
+    traffic_by_kind sentByKind;         ///< split of `sent`; dropped messages are not counted
+    traffic_by_kind receivedByKind;     ///< split of `received`
 };
 
 /// @brief Result of transport::wait().
@@ -97,8 +102,8 @@
     /// @return Number of messages taken from the socket.
     std::size_t receiveAll(const receiver &receive, std::size_t maxMessages);
 
-    /// @brief Sends messages that waited for their first connection and closes idle peers. Call it
-    ///        regularly; calls within 10 ms of the last pass do nothing.
+    /// @brief Sends messages that waited for their first connection, reconnects to silent peers and
+    ///        closes idle ones. Call it regularly; calls within 10 ms of the last pass do nothing.
     void maintain();
 
     [[nodiscard]] const transport_counters &counters() const noexcept;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -83,6 +83,9 @@
                       &transport_counters::peersOpened},
         transport_row{"bamboohead_peers_closed_total", "Connections to idle peers closed.",
                       &transport_counters::peersClosed},
+        transport_row{"bamboohead_peers_reconnected_total",
+                      "Connections replaced because the peer was silent.",
+                      &transport_counters::peersReconnected},
 };
 
 constexpr std::array dispatchEntryRows{
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <optional>
 #include <stdexcept>
 #include <unordered_map>
 #include <vector>
@@ -21,10 +22,13 @@
 /// Delay before a reconnection in milliseconds; it doubles up to the maximum.
 constexpr int reconnectInterval = 50;
 constexpr int maxReconnectInterval = 1000;
-/// Interval and time-out of ZeroMQ's own heartbeats in milliseconds. They detect a peer that
-/// disappeared without closing its connection.
-constexpr int heartbeatInterval = 2000;
-constexpr int heartbeatTimeout = 5000;
+constexpr int connectTimeout = 2000; ///< of one attempt to connect, in milliseconds
+/// Keep-alive probes of TCP on incoming connections, in seconds. They remove connections of peers
+/// that disappeared without closing them; ZeroMQ's own heartbeats would double the messages of a
+/// process with hundreds of connections.
+constexpr int keepAliveIdle = 30;
+constexpr int keepAliveInterval = 10;
+constexpr int keepAliveProbes = 3;
 /// Minimum time between two passes of maintain().
 constexpr duration maintenanceInterval = std::chrono::milliseconds{10};
 
@@ -42,6 +46,8 @@
     zmq::socket_t socket;
     time_point lastUsed;
     bool wasConnected = false; ///< the connection was up at least once
+    /// When the newest message of this peer was received; none since the socket was opened.
+    std::optional<time_point> lastReceived;
     std::deque<pending_message> pending;
     std::size_t pendingBytes = 0;
 };
@@ -52,8 +58,6 @@
     socket.set(zmq::sockopt::sndhwm, highWaterMark);
     socket.set(zmq::sockopt::rcvhwm, highWaterMark);
     socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(maxMessageBytes));
-    socket.set(zmq::sockopt::heartbeat_ivl, heartbeatInterval);
-    socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeout);
 }
 
 bool trySend(zmq::socket_t &socket, const std::string &payload)
@@ -72,6 +76,10 @@
         , m_inbox{m_context, zmq::socket_type::router}
     {
         setCommonOptions(m_inbox);
+        m_inbox.set(zmq::sockopt::tcp_keepalive, 1);
+        m_inbox.set(zmq::sockopt::tcp_keepalive_idle, keepAliveIdle);
+        m_inbox.set(zmq::sockopt::tcp_keepalive_intvl, keepAliveInterval);
+        m_inbox.set(zmq::sockopt::tcp_keepalive_cnt, keepAliveProbes);
         try {
             m_inbox.bind(endpoint);
         } catch (const zmq::error_t &error) {
@@ -142,8 +150,12 @@
             return;
         }
         m_lastMaintenance = now;
-        for (auto &item : m_peers) {
-            sendPending(item.second, now);
+        for (auto &[endpoint, recipient] : m_peers) {
+            if (recipient.lastReceived && now - *recipient.lastReceived >= peerSilenceLimit &&
+                now - recipient.lastUsed < peerSilenceLimit) {
+                reconnect(endpoint, recipient);
+            }
+            sendPending(recipient, now);
         }
         const auto closed = std::erase_if(m_peers, [&](const auto &item) {
             return now - item.second.lastUsed >= peerIdleLimit;
@@ -163,22 +175,39 @@
         if (found != m_peers.end()) {
             return &found->second;
         }
-        zmq::socket_t socket{m_context, zmq::socket_type::dealer};
-        setCommonOptions(socket);
-        socket.set(zmq::sockopt::immediate, true);
-        socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
-        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
+        peer created;
         try {
-            socket.connect(endpoint);
+            created.socket = connectTo(endpoint);
         } catch (const zmq::error_t &) {
             return nullptr;
         }
         ++m_counters.peersOpened;
-        peer created;
-        created.socket = std::move(socket);
         return &m_peers.emplace(endpoint, std::move(created)).first->second;
     }
 
+    /// @throw zmq::error_t When the endpoint is malformed.
+    zmq::socket_t connectTo(const std::string &endpoint)
+    {
+        zmq::socket_t socket{m_context, zmq::socket_type::dealer};
+        setCommonOptions(socket);
+        socket.set(zmq::sockopt::immediate, true);
+        socket.set(zmq::sockopt::connect_timeout, connectTimeout);
+        socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
+        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
+        socket.connect(endpoint);
+        return socket;
+    }
+
+    /// Replaces the connection to a peer that has fallen silent: the peer may have restarted, or
+    /// the path was interrupted, without an end of the connection that TCP would notice soon.
+    void reconnect(const std::string &endpoint, peer &recipient)
+    {
+        recipient.socket = connectTo(endpoint);
+        recipient.wasConnected = false;
+        recipient.lastReceived.reset();
+        ++m_counters.peersReconnected;
+    }
+
     /// Queues a message until the first connection to the peer is up. Drops it when the connection
     /// was up before, since then the queue of ZeroMQ is full or the peer is gone.
     void enqueue(peer &recipient, std::size_t kind, std::string payload)
@@ -244,6 +273,9 @@
             return true;
         }
         ++m_counters.received;
+        if (const auto from = m_peers.find(envelope.endpoint()); from != m_peers.end()) {
+            from->second.lastReceived = m_clock.now();
+        }
         count(m_counters.receivedByKind, messageKind(envelope), payload.size());
         receive(envelope);
         return true;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -135,6 +135,44 @@
     CHECK(a.counters().dropped == 2);
 }
 
+// Guards against messages that are sent for minutes on a connection whose other end has disappeared
+// without closing it, for example because its VM has lost power.
+TEST_CASE("the connection to a peer that has fallen silent is replaced")
+{
+    manual_clock clock;
+    transport a{anyPort, clock};
+    transport b{anyPort, clock};
+    const auto arrives = [&](transport &receiver, transport &sender, std::uint64_t expected) {
+        std::optional<std::uint64_t> stamp;
+        for (int i = 0; i < maxPolls && stamp != expected; ++i) {
+            clock.advance(std::chrono::milliseconds{10}); // the shortest interval of maintain()
+            sender.maintain();
+            receiver.wait(pollInterval, -1, -1);
+            receiver.receiveAll([&](const wire::Envelope &in) { stamp = in.stamp_us(); }, 1);
+        }
+        return stamp == expected;
+    };
+    a.send(b.endpoint(), envelopeWith(1));
+    CHECK(arrives(b, a, 1));
+    auto answer = envelopeWith(2);
+    answer.set_endpoint(b.endpoint());
+    b.send(a.endpoint(), answer);
+    CHECK(arrives(a, b, 2));
+    clock.advance(peerSilenceLimit - std::chrono::milliseconds{100});
+    a.send(b.endpoint(), envelopeWith(3));
+    a.maintain();
+    CHECK(a.counters().peersReconnected == 0);
+    clock.advance(std::chrono::milliseconds{200});
+    a.maintain();
+    CHECK(a.counters().peersReconnected == 1);
+    a.send(b.endpoint(), envelopeWith(4));
+    CHECK(arrives(b, a, 4));
+    // Without a further message of the peer the connection is not replaced again.
+    clock.advance(peerSilenceLimit);
+    a.maintain();
+    CHECK(a.counters().peersReconnected == 1);
+}
+
 // Guards against crashes and wrong decisions due to bytes that are not an envelope.
 TEST_CASE("malformed messages are dropped and counted")
 {
