Place tasks by immediate orders, and bound an entry's control traffic

Cause, from logs of small twins of the large order desk: an entry knows the load of most agents from reports that are older than its short tasks run. Tasks of 60 ms waited in the queue of a full target while others were free, and a job of eight tasks sent its spec in eight messages, which took up to 50 ms on the link of a small entry. At 295 machines every entry exchanged heartbeats and lists of all entries with every agent.

Change: - An order says whether the agent is to refuse a run that cannot start at once (RunOrder.immediate). A task is queued at an agent only after four such refusals, or when no agent is expected to be free. A refusal carries the agent's load, so it needs no pause. - The load in a report counts less the older it is, by the mean run time; agents that were full in an old report may be tried. - Tasks of a step prefer agents that get a message for the step anyway. - Each entry uses a working set of 48 agents of a service, at random, which grows after a shortage up to 256, shrinks and rotates. Other agents exchange a message with it each 3 s. Ends are acknowledged within 150 ms. - New entries are listed in heartbeats; lists of all entries follow at an interval that grows with the square of their number.

Ruled out: longer heartbeat intervals for all agents, because orders are refused when the echo is older than 600 ms.

The model needs no change: an agent may refuse a queued order at any time and for any reason in model/dispatch.pml already.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -3,6 +3,7 @@
 #include "bamboohead/dispatch/batch_job.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
 #include "bamboohead/dispatch/load_policy.hpp"
+#include "bamboohead/dispatch/working_set.hpp"
 #include "bamboohead/target_health.hpp"
 
 #include <cstdint>
@@ -20,10 +21,19 @@
     resources demand;
     std::uint64_t orderNumber = 0; ///< number of the message that carried the order
     bool stopping = false;
+    /// Whether the agent was to refuse the run if it could not start at once.
+    bool immediate = false;
     time_point stopSent;
     duration expected{}; ///< expected run time on a target of normal speed
 };
 
+/// @brief Times of the lists of entries that are sent to a process.
+struct member_list_times
+{
+    time_point last;    ///< when the newest list, complete or not, was sent
+    time_point nextAll; ///< when the next list of all entries is due
+};
+
 /// @brief State of one agent as seen by an entry, from the agent's reports and the orders sent to
 ///        it. Each agent controls one target.
 struct agent_view
@@ -43,11 +53,14 @@
     std::uint64_t ordersHandled = 0;
     std::uint64_t ordersSent = 0; ///< number of the newest order message; 0: none
     std::uint64_t endsSeen = 0;   ///< number of the newest run end that was processed; 0: none
+    /// `endsSeen` in the newest message to the agent.
+    std::uint64_t endsAcknowledged = 0;
     /// Epoch of `ordersSent`. A view that is created again after its removal has a higher epoch.
     std::uint64_t epoch = 0;
-    std::uint64_t peerEpoch = 0; ///< epoch of `endsSeen`, assigned by the agent
-    time_point lastHeartbeat;    ///< when the newest heartbeat was sent to the agent
-    time_point lastMemberList;   ///< when the newest list of entries was sent to the agent
+    std::uint64_t peerEpoch = 0;  ///< epoch of `endsSeen`, assigned by the agent
+    time_point lastReport;        ///< when the newest report of the agent was received
+    time_point lastHeartbeat;     ///< when the newest heartbeat was sent to the agent
+    member_list_times memberList; ///< lists of entries sent to the agent
     std::map<run_ref, outstanding_run> outstanding;
     time_point noOrdersUntil; ///< end of the pause after a refused order
     slowness_estimate slownessEstimate;
@@ -56,6 +69,8 @@
     ///        of the same or a more urgent priority, and orders that the newest report does not
     ///        account for.
     [[nodiscard]] resources precedingDemand(std::uint32_t priority) const;
+    /// @brief The part of precedingDemand() that is known from this entry's own orders.
+    [[nodiscard]] resources ownDemand() const;
 };
 
 /// @brief Requirements of a task that is to be placed.
@@ -68,6 +83,9 @@
     std::uint32_t priority = 0;
     /// Agent that gets the task only when no other has free capacity; `none`: no such agent.
     incarnation_id avoidedAgent = incarnation_id::none;
+    /// Whether the task may be ordered from an agent that had no free capacity in its newest
+    /// report, if the report is old. Such an order should not be queued at the agent.
+    bool mayProbe = false;
     /// Largest slowness of a target with which the task is expected to end within the job's
     /// objective or, if the job is late, within dispatch_entry_limits::maxObjectiveFactor times the
     /// objective; the time that later steps need is not subtracted. 0 or less when that time has
@@ -79,10 +97,25 @@
 struct placement_candidate
 {
     agent_view *agent = nullptr;
-    resources precedingDemand; ///< demand that has precedence over a further task
+    /// Demand that has precedence over a further task: precedingDemand() of the agent, with the
+    /// part of other entries estimated for the age of the agent's report.
+    resources precedingDemand;
+    /// Part of the other entries' runs in the agent's newest report that have not ended since, as
+    /// expected from the mean run time: 1 for a new report, towards 0 for an old one.
+    double currency = 1.0;
     double slowness = 1.0;
     double preference = 1.0; ///< weight factor; higher for targets with the preferred label
     std::uint32_t tasks = 0; ///< outstanding tasks of the step on this agent
+    bool chosen = false;     ///< agent_pool::choose() has returned the agent for an earlier task
+};
+
+/// @brief An agent that was chosen for a task.
+struct chosen_agent
+{
+    agent_view *agent = nullptr; ///< null: no agent can take the task
+    /// Whether the agent is expected to start the task at once. Otherwise the task is to wait in
+    /// the agent's queue.
+    bool free = false;
 };
 
 /// @brief Agents known to an entry, and the placement of tasks on them.
@@ -91,9 +124,11 @@
 public:
     /// @param member Has to outlive the pool, which refers to it.
     /// @param seed Seed of the random choices among agents.
-    agent_pool(const fleet_member &member, std::uint64_t seed)
+    /// @param workingSet Sizes of the working set of each service.
+    agent_pool(const fleet_member &member, std::uint64_t seed, working_set_limits workingSet)
         : m_member{member}
         , m_random{seed}
+        , m_workingSetLimits{workingSet}
     {}
 
     [[nodiscard]] std::map<incarnation_id, agent_view> &agents() noexcept { return m_agents; }
@@ -103,12 +138,23 @@
     }
     void removeAgent(incarnation_id agent);
 
-    /// @brief Agents that may run the tasks of a step. Examines all agents, so it should be called
-    ///        once for all tasks of a step.
+    /// @brief Adapts the working set of each service; to be called in each tick.
+    void updateWorkingSets();
+    /// @brief Whether the agent belongs to the working set of its service. True for an agent that
+    ///        has not reported its service yet.
+    [[nodiscard]] bool inWorkingSet(const agent_view &agent) const;
+
+    /// @brief Agents of the working set that may run the tasks of a step. Examines all agents, so
+    ///        it should be called once for all tasks of a step.
     [[nodiscard]] std::vector<placement_candidate> candidates(const placement_request &request);
     /// @brief Chooses an agent with free capacity for a task, or else one with space in its queue,
     ///        and adds the task's demand to that candidate.
     ///
+    /// Reports are often older than the tasks that they count take to run. The older a report is,
+    /// the less its figures count compared with the mean load of all agents. With
+    /// placement_request::mayProbe, an agent that reported no free capacity is chosen at random
+    /// when none is expected to have any, if most of the reported runs are expected to have ended.
+    ///
     /// The choice among agents with free capacity is random: entries that see the same load would
     /// otherwise all choose the same agent. The weight of an agent is its free processor capacity,
     /// divided by the square of its target's slowness, and four times as high if the target has the
@@ -117,30 +163,47 @@
     /// lowest ratio of slowness to free processor capacity, queue space included, is then chosen.
     /// @param request Request for the step for which the candidates were found; `avoidedAgent` is
     ///        that of the task.
-    /// @return Null when no candidate has free capacity or queue space and fewer than
+    /// @return No agent when no candidate has free capacity or queue space and fewer than
     ///         `maxTasksPerTarget` tasks of the step.
-    [[nodiscard]] agent_view *choose(std::vector<placement_candidate> &candidates,
-                                     const placement_request &request);
+    [[nodiscard]] chosen_agent choose(std::vector<placement_candidate> &candidates,
+                                      const placement_request &request);
 
     /// @brief Whether an agent may receive orders, apart from the health of its target, which
     ///        isEligible() checks: the agent is ready, responsive, in a zone that accepts tasks,
     ///        and not in a pause after a refusal.
     [[nodiscard]] bool usable(const agent_view &agent) const;
+    /// @brief Like usable(), but with the report interval outside the working set. Such an agent is
+    ///        usable one round trip after it was added to the working set.
+    [[nodiscard]] bool available(const agent_view &agent) const;
     /// @brief Records the result of a task in the health statistics of the agent's target.
     void taskEnded(incarnation_id agent, batch_job_id job, bool failed);
     /// @brief Records an order in the health statistics of the agent's target.
     void orderSent(incarnation_id agent);
+    /// @brief Records the run time of a task, from which the part of a report is estimated that is
+    ///        still valid after some time.
+    void observeRunTime(duration runTime);
     /// @brief Whether an agent other than the avoided one, with a target of normal speed, has free
     ///        capacity for a task now.
     [[nodiscard]] bool hasAgentWithFreeCapacity(const placement_request &request) const;
-    /// @brief Number of usable agents of a service.
+    /// @brief Number of available agents of a service.
     [[nodiscard]] std::size_t usableAgents(std::string_view service) const;
-    /// @brief Total capacity of the usable agents of a service.
+    /// @brief Total capacity of the available agents of a service.
     [[nodiscard]] resources capacity(std::string_view service) const;
 
 private:
-    [[nodiscard]] placement_candidate *selectCandidate(std::vector<placement_candidate> &candidates,
-                                                       const placement_request &request);
+    /// A candidate for a task, and whether it is expected to start the task at once.
+    struct selection
+    {
+        placement_candidate *candidate = nullptr;
+        bool free = false;
+    };
+    [[nodiscard]] selection selectCandidate(std::vector<placement_candidate> &candidates,
+                                            const placement_request &request);
+    /// Replaces a part of the reported load of old reports by the mean load of all candidates.
+    void estimateLoads(std::vector<placement_candidate> &candidates) const;
+    /// Adds agents with the label that the task needs or prefers to the working set, and reports a
+    /// shortage if no agent has free capacity.
+    void extendWorkingSet(const placement_request &request, bool shortage);
     /// Whether an agent may run a further task of the step, apart from its load.
     [[nodiscard]] bool isEligible(const agent_view &agent, const placement_request &request) const;
     [[nodiscard]] static std::uint32_t outstandingTasks(const agent_view &agent,
@@ -150,6 +213,9 @@
     std::map<incarnation_id, agent_view> m_agents;
     std::mt19937_64 m_random;
     target_health m_health;
+    working_set_limits m_workingSetLimits;
+    std::map<std::string, working_set, std::less<>> m_workingSets; ///< by service
+    duration m_meanRunTime = std::chrono::milliseconds{200};       ///< of this entry's tasks
 };
 
 } // namespace bamboohead
--- a/include/bamboohead/dispatch/batch_job.hpp
+++ b/include/bamboohead/dispatch/batch_job.hpp
@@ -51,8 +51,9 @@
 struct batch_task_record
 {
     batch_task_state state = batch_task_state::waiting;
-    std::uint32_t run = 0;      ///< number of the newest run; 0: none yet
-    std::uint32_t failures = 0; ///< runs that ended as failed
+    std::uint32_t run = 0;            ///< number of the newest run; 0: none yet
+    std::uint32_t failures = 0;       ///< runs that ended as failed
+    std::uint32_t noRoomRefusals = 0; ///< runs that an agent refused for lack of free capacity
     /// Agent of the newest run that did not complete the task; `none`: no such run.
     incarnation_id avoidedAgent = incarnation_id::none;
 };
--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -32,8 +32,10 @@
     /// Interval between full reports to an entry that has runs here or has not acknowledged all run
     /// ends.
     duration busyHeartbeatInterval = std::chrono::milliseconds{150};
-    /// Interval between full reports to any other entry.
+    /// Interval between full reports to any other entry that does not ask for a longer one.
     duration idleHeartbeatInterval = std::chrono::milliseconds{500};
+    /// Longest interval between full reports that an entry may ask for.
+    duration maxIdleInterval = std::chrono::seconds{4};
     /// Change of the CPU demand of running tasks, in percent of the CPU capacity, above which
     /// entries that have runs or unacknowledged run ends at this agent receive an early report.
     /// With outdated load figures several entries would choose the same agent.
@@ -136,6 +138,7 @@
         /// report, although a report contains at most 500 ends; later full reports contain the
         /// other ones.
         std::size_t unsent = 0;
+        duration idleInterval{};       ///< that the entry asks for; 0: idleHeartbeatInterval
         time_point lastFullReport;     ///< default value: a full report is due
         time_point lastReport;         ///< time of the newest report of any kind
         std::uint64_t reportedCpu = 0; ///< CPU demand of the running tasks in the newest report
@@ -164,8 +167,8 @@
                      bool fresh);
     /// Reason to refuse an order, or `none`. `fresh`: the echo that came with the order is at most
     /// `maxOrderAge` old.
-    [[nodiscard]] error_kind refusalReason(const run_ref &ref, const resources &demand,
-                                           std::uint32_t priority, bool fresh) const;
+    [[nodiscard]] error_kind refusalReason(const run_ref &ref, const wire::RunOrder &order,
+                                           bool fresh) const;
     [[nodiscard]] resources queuedDemandUpTo(std::uint32_t priority) const;
     void enqueue(const run_ref &ref, const agent_run &run);
     void dequeue(const agent_run &run);
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -28,8 +28,13 @@
     /// lost it stays younger than dispatch_agent_limits::entryLease (600 ms), after which the agent
     /// stops the entry's runs.
     duration busyHeartbeatInterval = std::chrono::milliseconds{150};
-    /// Heartbeat interval to agents without such runs and to other entries.
+    /// Heartbeat interval to agents of the working set without such runs. Also the interval to
+    /// other entries in fleets with few of them, see largeFleetFactor().
     duration idleHeartbeatInterval = std::chrono::milliseconds{500};
+    /// Heartbeat interval to agents outside the working set, and longest interval to other entries.
+    duration standbyHeartbeatInterval = std::chrono::seconds{3};
+    /// Sizes of the working set of each service.
+    working_set_limits workingSet;
     /// Interval at which the stop of a run is sent again until its end is reported.
     duration stopRetryInterval = std::chrono::milliseconds{200};
     /// Time without a message from an agent after which its runs have certainly ended: the agent
@@ -50,6 +55,9 @@
     /// Time without a usable agent of any service after which a job is refused if its service has
     /// none. Agents connect to a newly started entry in less time.
     duration noAgentTimeout = std::chrono::milliseconds{2'000};
+    /// Number of orders of a task that an agent is to refuse when it cannot start the task at once.
+    /// Another agent is tried after each of them; further orders may wait in an agent's queue.
+    std::uint32_t immediateOrders = 4;
     /// Multiple of the response-time objective after which an answer is of no use to its caller.
     int maxObjectiveFactor = 3;
     std::size_t maxJobs = 20'000;                        ///< open jobs; further ones are refused
@@ -169,6 +177,14 @@
         std::optional<batch_job_state> endState;
     };
 
+    /// A task of a job to order, and whether the agent is to refuse it if it cannot start at once.
+    struct task_order
+    {
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        bool immediate = false;
+    };
+
     struct ended_job
     {
         batch_job_id id;
@@ -208,13 +224,19 @@
     void enqueue(const job_record &job);
     void dispatch();
     bool dispatchJob(job_record &job);
-    void addOrder(agent_view &agent, job_record &job, std::uint32_t step, std::uint32_t index);
+    void addOrder(agent_view &agent, job_record &job, const task_order &order);
     void stopRuns(const job_record &job);
     void endJob(job_record &job, batch_job_state state, error_kind error);
     void expireJobs();
     void removeIfFinished(batch_job_id id);
     void evictEndedJobs();
     void sendOrders();
+    [[nodiscard]] duration heartbeatInterval(const agent_view &agent) const;
+    [[nodiscard]] std::int64_t largeFleetFactor() const;
+    /// Adds a list of entries to a message to a process: all of them if such a list is due, else
+    /// those that the previous lists may lack.
+    template <typename Message>
+    void addMemberList(Message &message, member_list_times &times);
     void addHeartbeat(agent_view &agent, wire::DispatchOrders &message);
     void syncEntries();
     [[nodiscard]] static queue_key keyOf(const job_record &job);
@@ -230,7 +252,12 @@
     std::unordered_map<batch_job_id, batch_job_state> m_ended;
     std::deque<ended_job> m_endedByTime; ///< jobs of `m_ended`, oldest end first
     std::map<incarnation_id, wire::DispatchOrders> m_unsentOrders; ///< orders and stops, by agent
-    std::map<incarnation_id, time_point> m_lastSync; ///< last message to each other entry
+    struct sync_times
+    {
+        time_point message; ///< last message to the entry
+        member_list_times memberList;
+    };
+    std::map<incarnation_id, sync_times> m_lastSync; ///< by other entry
     run_time_model m_runTimes;
     start_rate m_startRate;
     admission_share m_admission;
--- a/include/bamboohead/dispatch/fleet_member.hpp
+++ b/include/bamboohead/dispatch/fleet_member.hpp
@@ -31,7 +31,7 @@
     /// @return Result of link_table::receive().
     receive_result receive(const wire::Envelope &envelope);
     /// @brief Sends a hello to contacts without a live link, that is without an echo of a stamp
-    ///        that is at most 1 s old, and removes peers without a message for 10 s.
+    ///        that is at most 7 s old, and removes peers without a message for 10 s.
     void tick();
 
     /// @brief Adds endpoints of processes to ask for the entries; at most 64 are kept.
@@ -61,16 +61,18 @@
     [[nodiscard]] const link_table &links() const noexcept { return m_links; }
     [[nodiscard]] time_point now() const { return m_clock.now(); }
     [[nodiscard]] const process_identity &self() const noexcept { return m_links.self(); }
-    /// @brief Adds to a message the entries that have echoed a stamp of the last 2 s, see
+    /// @brief Adds to a message the entries that have echoed a stamp of the last 7 s, see
     ///        link_table, and this process if it is an entry.
+    /// @param since Lists only other entries that have sent their first echo at this time or later;
+    ///              by default all entries and this process are listed.
     template <typename Message>
-    void fillMembers(Message &message) const
+    void fillMembers(Message &message, time_point since = {}) const
     {
-        if (self().role == wire::ROLE_ENTRY) {
+        if (self().role == wire::ROLE_ENTRY && since == time_point{}) {
             addMember(*message.add_entries(), self().incarnation, self().endpoint, self().zone);
         }
         for (const auto *const peer : m_links.peers(wire::ROLE_ENTRY)) {
-            if (m_links.alive(peer->incarnation, maxListedEchoAge)) {
+            if (peer->firstEcho >= since && m_links.alive(peer->incarnation, maxListedEchoAge)) {
                 addMember(*message.add_entries(), peer->incarnation, peer->endpoint, peer->zone);
             }
         }
@@ -78,7 +80,7 @@
 
 private:
     /// Maximum age of the newest stamp that an entry listed to other processes has echoed.
-    static constexpr duration maxListedEchoAge = std::chrono::seconds{2};
+    static constexpr duration maxListedEchoAge = std::chrono::seconds{7};
 
     static void addMember(wire::Member &out, incarnation_id incarnation,
                           const std::string &endpoint, const std::string &zone);
--- a/include/bamboohead/link_table.hpp
+++ b/include/bamboohead/link_table.hpp
@@ -30,6 +30,7 @@
     std::string zone;
     std::uint64_t newestStamp = 0;        ///< newest stamp of the peer's clock, in microseconds
     std::optional<time_point> newestEcho; ///< newest stamp of this process that the peer has echoed
+    time_point firstEcho;                 ///< when the first echo arrived; default value: none yet
     time_point added;                     ///< when the peer became known
     time_point lastArrival;               ///< when the peer's newest message was handled
 };
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -14,8 +14,9 @@
 /// rounded down and at least 1.
 constexpr std::int64_t earlyReportIntervalDivisor = 4;
 /// An entry from which no message has arrived for this long receives no reports. One that has not
-/// echoed a stamp of this age or newer does not count as connected.
-constexpr duration entryTimeout = std::chrono::seconds{3};
+/// echoed a stamp of this age or newer does not count as connected. Entries that do not use this
+/// agent send a message each dispatch_entry_limits::standbyHeartbeatInterval.
+constexpr duration entryTimeout = std::chrono::seconds{7};
 
 } // namespace
 
@@ -53,6 +54,12 @@
         entry.unacked.pop_front();
     }
     entry.unsent = std::min(entry.unsent, entry.unacked.size());
+    const auto idleInterval = std::min<duration>(
+            std::chrono::milliseconds{message.idle_report_ms()}, m_options.limits.maxIdleInterval);
+    if (idleInterval < entry.idleInterval) {
+        entry.lastFullReport = {}; // the entry is about to use this agent and needs its load
+    }
+    entry.idleInterval = idleInterval;
     for (const auto &stop : message.stops()) {
         stopRun(fromWire(stop));
     }
@@ -96,8 +103,8 @@
     }
 }
 
-error_kind dispatch_agent::refusalReason(const run_ref &ref, const resources &demand,
-                                         std::uint32_t priority, bool fresh) const
+error_kind dispatch_agent::refusalReason(const run_ref &ref, const wire::RunOrder &order,
+                                         bool fresh) const
 {
     if (!fresh) {
         return error_kind::order_stale;
@@ -115,13 +122,16 @@
     if (first != m_runs.end() && first->first.task == ref.task) {
         return error_kind::order_duplicate;
     }
+    const auto demand = fromWire(order.demand());
     auto room = m_session.target()->capacity;
     if (!demand.fitsIn(room)) {
         return error_kind::no_room;
     }
-    room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
-    room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
-    return (m_session.committed() + queuedDemandUpTo(priority) + demand).fitsIn(room)
+    if (!order.immediate()) {
+        room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
+        room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
+    }
+    return (m_session.committed() + queuedDemandUpTo(order.priority()) + demand).fitsIn(room)
                    ? error_kind::none
                    : error_kind::no_room;
 }
@@ -144,7 +154,7 @@
         return;
     }
     const auto demand = fromWire(order.demand());
-    const auto refusal = refusalReason(ref, demand, order.priority(), fresh);
+    const auto refusal = refusalReason(ref, order, fresh);
     agent_run run;
     run.entry = entry;
     run.demand = demand;
@@ -440,9 +450,10 @@
         if (peer == nullptr || now - std::max(peer->added, peer->lastArrival) > entryTimeout) {
             continue;
         }
-        const auto interval = hasRunsOf(incarnation) || !entry.unacked.empty()
-                                      ? m_options.limits.busyHeartbeatInterval
-                                      : m_options.limits.idleHeartbeatInterval;
+        const auto interval =
+                hasRunsOf(incarnation) || !entry.unacked.empty()
+                        ? m_options.limits.busyHeartbeatInterval
+                        : std::max(entry.idleInterval, m_options.limits.idleHeartbeatInterval);
         const auto sinceFullReport = now - entry.lastFullReport;
         const bool changed =
                 interval == m_options.limits.busyHeartbeatInterval && loadChanged(entry);
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -12,14 +12,26 @@
 /// Time without a message after which a silent agent is removed. Its runs are marked as lost
 /// earlier, once `runLossTimeout` has passed.
 constexpr duration silentAgentRemovalTimeout = 3s;
-constexpr duration memberListInterval = 2s; ///< between lists of entries sent to an agent
+/// The same for agents outside the working set, which report more rarely.
+constexpr duration silentStandbyRemovalTimeout = 7s;
+/// Shortest mean interval between lists of all entries that are sent to a process.
+constexpr duration minMemberListInterval = 2s;
+/// Mean interval between lists of all entries that are sent to a process, per square of the number
+/// of entries: each of them sends a list of about 60 bytes for each of them, which together makes
+/// about 1 KB/s for the receiver in a fleet of any size.
+constexpr duration memberListIntervalPerSquare = 60ms;
+/// Entries are listed to a process again for this time after they were first listed to it, in case
+/// a message is lost.
+constexpr duration newEntryPeriod = 1s;
+/// Number of other entries up to which messages to them have the normal interval.
+constexpr std::int64_t fewEntries = 8;
 
 } // namespace
 
 dispatch_entry::dispatch_entry(dispatch_entry_options options, const clock &clock)
     : m_options{std::move(options)}
     , m_member{m_options.self, clock}
-    , m_pool{m_member, m_options.seed}
+    , m_pool{m_member, m_options.seed, m_options.limits.workingSet}
 {
     m_member.addContacts(m_options.contacts);
     m_lastUsableAgent = clock.now();
@@ -92,6 +104,7 @@
     }
     // Only full reports (`reconcile`) contain the service and the capacity, so an agent counts as
     // ready only from its first full report on.
+    agent.lastReport = m_member.now();
     agent.ready = report.ready() && (report.reconcile() || !agent.service.empty());
     agent.cleared = report.cleared();
     agent.running = fromWire(report.running());
@@ -161,7 +174,9 @@
         if (silence >= m_options.limits.runLossTimeout) {
             markRunsLost(agent, "agent_silent");
         }
-        if (peer == nullptr || silence >= silentAgentRemovalTimeout) {
+        const auto timeout = m_pool.inWorkingSet(agent) ? silentAgentRemovalTimeout
+                                                        : silentStandbyRemovalTimeout;
+        if (peer == nullptr || silence >= timeout) {
             gone.push_back(incarnation);
         }
     }
@@ -179,6 +194,7 @@
     m_member.tick();
     expireJobs();
     removeSilentAgents();
+    m_pool.updateWorkingSets();
     if (std::ranges::any_of(m_pool.agents(),
                             [&](const auto &agent) { return m_pool.usable(agent.second); })) {
         m_lastUsableAgent = m_member.now();
@@ -208,16 +224,45 @@
     return std::max(duration{}, since - m_options.limits.tickPeriod) * delayedPasses;
 }
 
+template <typename Message>
+void dispatch_entry::addMemberList(Message &message, member_list_times &times)
+{
+    const auto now = m_member.now();
+    const auto last = std::exchange(times.last, now);
+    if (now < times.nextAll) {
+        m_member.fillMembers(message, last - newEntryPeriod);
+        return;
+    }
+    m_member.fillMembers(message);
+    const auto entries = std::ssize(m_lastSync) + 1;
+    const auto interval = std::max<duration>(minMemberListInterval,
+                                             memberListIntervalPerSquare * entries * entries);
+    // Random, so that the lists of the entries do not all arrive at the same time.
+    const auto factor = std::uniform_real_distribution<double>{0.5, 1.5}(m_random);
+    times.nextAll =
+            now +
+            duration{static_cast<duration::rep>(static_cast<double>(interval.count()) * factor)};
+}
+
+/// Factor by which the interval of messages to all other entries is multiplied, so that their rate
+/// does not grow with the number of entries.
+std::int64_t dispatch_entry::largeFleetFactor() const
+{
+    return std::max<std::int64_t>(1, std::ssize(m_lastSync) / fewEntries);
+}
+
 void dispatch_entry::syncEntries()
 {
+    const auto interval = std::min(m_options.limits.idleHeartbeatInterval * largeFleetFactor(),
+                                   m_options.limits.standbyHeartbeatInterval);
     for (const auto *const peer : m_member.links().peers(wire::ROLE_ENTRY)) {
         auto &last = m_lastSync[peer->incarnation];
-        if (m_member.now() - last < m_options.limits.idleHeartbeatInterval) {
+        if (m_member.now() - last.message < interval) {
             continue;
         }
-        last = m_member.now();
+        last.message = m_member.now();
         wire::Envelope envelope;
-        m_member.fillMembers(*envelope.mutable_entry_sync());
+        addMemberList(*envelope.mutable_entry_sync(), last.memberList);
         envelope.mutable_entry_sync()->set_config_version(m_member.config().revision);
         envelope.mutable_entry_sync()->set_draining(draining());
         m_member.send(peer->incarnation, std::move(envelope));
@@ -235,12 +280,22 @@
     return m_member.takeActions();
 }
 
+/// Interval between heartbeats to an agent. Ends that the agent still repeats in its reports, since
+/// they are not acknowledged yet, count as outstanding runs.
+duration dispatch_entry::heartbeatInterval(const agent_view &agent) const
+{
+    if (!agent.outstanding.empty() || agent.endsSeen != agent.endsAcknowledged) {
+        return m_options.limits.busyHeartbeatInterval;
+    }
+    return m_pool.inWorkingSet(agent) ? m_options.limits.idleHeartbeatInterval
+                                      : m_options.limits.standbyHeartbeatInterval;
+}
+
 void dispatch_entry::sendOrders()
 {
     const auto now = m_member.now();
     for (auto &[incarnation, agent] : m_pool.agents()) {
-        const auto interval = agent.outstanding.empty() ? m_options.limits.idleHeartbeatInterval
-                                                        : m_options.limits.busyHeartbeatInterval;
+        const auto interval = heartbeatInterval(agent);
         const auto unsent = m_unsentOrders.find(incarnation);
         const auto sinceHeartbeat = now - agent.lastHeartbeat;
         if (sinceHeartbeat < interval && unsent == m_unsentOrders.end()) {
@@ -255,6 +310,10 @@
             m_unsentOrders.erase(unsent);
         }
         message.set_ends_seen(agent.endsSeen);
+        agent.endsAcknowledged = agent.endsSeen;
+        if (!m_pool.inWorkingSet(agent)) {
+            message.set_idle_report_ms(toMilliseconds(m_options.limits.standbyHeartbeatInterval));
+        }
         message.set_epoch(agent.epoch);
         message.set_peer_epoch(agent.peerEpoch);
         message.set_config_version(m_member.config().revision);
@@ -281,10 +340,7 @@
         }
     }
     message.set_draining(draining());
-    if (m_member.now() - agent.lastMemberList >= memberListInterval) {
-        agent.lastMemberList = m_member.now();
-        m_member.fillMembers(message);
-    }
+    addMemberList(message, agent.memberList);
 }
 
 // State
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-/// Time that the usable targets need for all waiting work, in the queue of this entry and at the
+/// Time that the available targets need for all waiting work, in the queue of this entry and at the
 /// agents. The other entries are assumed to have as much work queued as this one. Zero without
 /// usable agents.
 duration dispatch_entry::backlog() const
@@ -63,7 +63,7 @@
     work *= m_member.links().peers(wire::ROLE_ENTRY).size() + 1;
     std::uint64_t capacity = 0;
     for (const auto &[incarnation, agent] : m_pool.agents()) {
-        if (!m_pool.usable(agent)) {
+        if (!m_pool.available(agent)) {
             continue;
         }
         capacity += agent.capacity.cpuMillis;
@@ -147,21 +147,22 @@
         while (!step.waiting.empty()) {
             const auto index = step.waiting.back();
             request.avoidedAgent = step.tasks[index].avoidedAgent;
-            auto *const agent = m_pool.choose(candidates, request);
-            if (agent == nullptr) {
+            request.mayProbe = step.tasks[index].noRoomRefusals < m_options.limits.immediateOrders;
+            const auto chosen = m_pool.choose(candidates, request);
+            if (chosen.agent == nullptr) {
                 return false;
             }
             step.waiting.pop_back();
-            addOrder(*agent, job, stepIndex, index);
+            addOrder(*chosen.agent, job, {stepIndex, index, chosen.free && request.mayProbe});
         }
     }
     return true;
 }
 
 /// Adds a run of a task to the next message to `agent`.
-void dispatch_entry::addOrder(agent_view &agent, job_record &job, std::uint32_t step,
-                              std::uint32_t index)
+void dispatch_entry::addOrder(agent_view &agent, job_record &job, const task_order &order)
 {
+    const auto [step, index, immediate] = order;
     auto &unsent = m_unsentOrders[agent.incarnation];
     if (unsent.orders_size() == 0) {
         unsent.set_number(++agent.ordersSent);
@@ -169,13 +170,15 @@
     const auto id = static_cast<std::uint64_t>(job.submission.id);
     auto *group =
             unsent.orders_size() == 0 ? nullptr : unsent.mutable_orders(unsent.orders_size() - 1);
-    if (group == nullptr || group->job() != id || group->step() != step) {
+    if (group == nullptr || group->job() != id || group->step() != step ||
+        group->immediate() != immediate) {
         group = unsent.add_orders();
         group->set_job(id);
         group->set_step(step);
         group->set_spec(job.submission.spec);
         toWire(job.submission.steps[step].demand, *group->mutable_demand());
         group->set_priority(job.route.priority);
+        group->set_immediate(immediate);
         group->set_remaining_ms(toMilliseconds(job.expires - m_member.now()));
     }
     auto &task = job.steps[step].tasks[index];
@@ -189,6 +192,7 @@
     outstanding_run run;
     run.demand = taskStep.demand;
     run.orderNumber = agent.ordersSent;
+    run.immediate = immediate;
     run.expected = m_runTimes.expected(job.route.name, taskStep.estimate);
     m_startRate.started(workOf(taskStep.demand.cpuMillis, run.expected, 1), m_member.now());
     m_pool.orderSent(agent.incarnation);
@@ -198,12 +202,15 @@
     ++job.outstanding;
     job.started = true;
     ++m_counters.runsOrdered;
-    m_member.log("run_ordered",
-                 {{"run", toText(ref)},
-                  {"agent", toText(agent.incarnation)},
-                  {"target", agent.target},
-                  {"running_cpu", std::to_string(agent.running.cpuMillis)},
-                  {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+    m_member.log(
+            "run_ordered",
+            {{"run", toText(ref)},
+             {"agent", toText(agent.incarnation)},
+             {"target", agent.target},
+             {"immediate", immediate ? "true" : "false"},
+             {"report_age_ms", std::to_string(toMilliseconds(m_member.now() - agent.lastReport))},
+             {"running_cpu", std::to_string(agent.running.cpuMillis)},
+             {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
 }
 
 } // namespace bamboohead
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -49,7 +49,11 @@
         // that an earlier refusal has begun.
         const bool causedByOrder =
                 error == error_kind::order_void || error == error_kind::order_duplicate;
-        const auto pause = error == error_kind::no_room ? noRoomPause : refusedPause;
+        // An agent that could not start an immediate order has just reported its load, so it needs
+        // no pause to be avoided.
+        const auto pause = error != error_kind::no_room ? refusedPause
+                           : run.immediate              ? duration{}
+                                                        : noRoomPause;
         agent.noOrdersUntil = causedByOrder ? time_point{} : m_member.now() + pause;
     }
     const auto found = m_jobs.find(ref.task.job);
@@ -67,6 +71,9 @@
         handleTaskFailure(job, ref, agent.incarnation);
         break;
     default:
+        if (errorFromWire(end.error()) == error_kind::no_room) {
+            ++job.steps.at(ref.task.step).tasks.at(ref.task.index).noRoomRefusals;
+        }
         requeueTask(job, ref.task, agent.incarnation);
         break;
     }
@@ -89,6 +96,7 @@
     m_pool.taskEnded(agent.incarnation, ref.task.job, false);
     auto &step = job.steps.at(ref.task.step);
     const auto reference = step.meanRunTime(run.expected);
+    m_pool.observeRunTime(runTime);
     agent.slownessEstimate.recordCompletion(reference, runTime, m_member.now());
     // Run times on a slow target say nothing about the accuracy of the declared times.
     if (agent.slownessEstimate.slowness(m_member.now()) < replacementSlowness) {
--- a/src/dispatch/fleet_member.cpp
+++ b/src/dispatch/fleet_member.cpp
@@ -10,8 +10,9 @@
 
 constexpr duration helloInterval = 500ms; ///< between hellos to a contact that does not answer
 constexpr duration pullInterval = 300ms;  ///< between requests for a peer's desired state
-/// Maximum age of the newest stamp that a peer has echoed with which it needs no hello.
-constexpr duration maxLinkEchoAge = 1s;
+/// Maximum age of the newest stamp that a peer has echoed with which it needs no hello. It allows
+/// for the loss of one heartbeat at the longest interval.
+constexpr duration maxLinkEchoAge = 7s;
 constexpr duration silentPeerTimeout = 10s; ///< peers without a message for this long are removed
 constexpr std::size_t maxContacts = 64;
 
--- a/src/link_table.cpp
+++ b/src/link_table.cpp
@@ -38,6 +38,9 @@
     peer.newestStamp = std::max(peer.newestStamp, envelope.stamp_us());
     if (envelope.echo_us() != 0) {
         const auto echo = fromStamp(envelope.echo_us());
+        if (!peer.newestEcho) {
+            peer.firstEcho = m_clock.now();
+        }
         received.age = m_clock.now() - echo;
         peer.newestEcho = std::max(peer.newestEcho.value_or(echo), echo);
     }
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr duration tickLength = 10ms;
 constexpr duration reportInterval = 1'500ms;
 /// Delay after which a caller submits a job again whose request ended without an answer. The
 /// callers of the users' platform use the same, and so does tests/soak/callers.py.
@@ -149,7 +148,7 @@
 {
     const auto until = now() + length;
     while (now() < until) {
-        step(tickLength);
+        step(m_options.tickLength);
     }
 }
 
@@ -236,6 +235,12 @@
     if (isPartitioned(from.endpoint, message.endpoint) || occurs(faults.messageLossPercent)) {
         return;
     }
+    const auto bytes = message.envelope.ByteSizeLong();
+    for (const auto &endpoint : {from.endpoint, message.endpoint}) {
+        auto &traffic = m_traffic[endpoint];
+        ++traffic.messages;
+        traffic.bytes += bytes;
+    }
     const auto delay = std::chrono::microseconds{500 + random(1'500)};
     at(now() + delay, [this, message] {
         const auto found = m_processes.find(message.endpoint);
@@ -336,16 +341,23 @@
 
 void fleet_simulation::submit(unsigned tasks, duration runTime, duration callerTimeout)
 {
-    tracked_job made;
-    made.route = quoteRoute();
-    made.submission.id = batch_job_id{++m_lastId};
-    made.submission.spec = "spec";
-    made.submission.bestEffort = true;
-    made.submission.callerTimeout = callerTimeout;
     batch_step work;
     work.count = tasks;
     work.demand = {3'000, 64, 0};
     work.estimate = runTime;
+    submit(quoteRoute(), work, "spec", callerTimeout);
+}
+
+void fleet_simulation::submit(const dispatch_route &route, const batch_step &work, std::string spec,
+                              duration callerTimeout)
+{
+    tracked_job made;
+    made.route = route;
+    made.submitted = now();
+    made.submission.id = batch_job_id{++m_lastId};
+    made.submission.spec = std::move(spec);
+    made.submission.bestEffort = true;
+    made.submission.callerTimeout = callerTimeout;
     made.submission.steps.push_back(work);
     const auto id = made.submission.id;
     m_jobs.emplace(id, std::move(made));
@@ -445,6 +457,7 @@
         return;
     }
     job.answer = reply.state;
+    job.answered = now();
     if (reply.state == batch_job_state::succeeded) {
         for (std::uint32_t index = 0; index < job.submission.steps.front().count; ++index) {
             if (!m_doneTasks.contains({id, 0, index})) {
@@ -521,6 +534,17 @@
     }
 }
 
+const message_count &fleet_simulation::traffic(const std::string &endpoint) const
+{
+    return m_traffic.at(endpoint);
+}
+
+bool tracked_job::inObjective() const
+{
+    const auto objective = responseObjective(criticalPathLength(submission), route);
+    return answer == batch_job_state::succeeded && answered - submitted <= objective;
+}
+
 std::size_t fleet_simulation::runningTasks() const
 {
     std::size_t count = 0;
--- a/tests/dispatch/fleet_simulation.hpp
+++ b/tests/dispatch/fleet_simulation.hpp
@@ -36,6 +36,18 @@
     time_point noResubmissionSince;
     std::optional<batch_job_state> answer; ///< final state; none until it was received
     bool open = false;                     ///< a submission has no answer yet; nothing reads it
+    time_point submitted;                  ///< time of the first submission
+    time_point answered;                   ///< when `answer` was received
+
+    /// @brief Whether the job has succeeded within its response-time objective.
+    [[nodiscard]] bool inObjective() const;
+};
+
+/// @brief Messages between processes and their serialized size.
+struct message_count
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
 };
 
 /// @brief Simulates entries, agents and targets on one clock, with a network that loses, delays and
@@ -56,7 +68,8 @@
         dispatch_entry_limits entryLimits;
         dispatch_agent_limits agentLimits;
         target_session_limits targetLimits;
-        bool trace = false; ///< prints the log lines of all processes, for debugging
+        bool trace = false;         ///< prints the log lines of all processes, for debugging
+        duration tickLength = 10ms; ///< interval at which the processes handle their inputs
     };
 
     explicit fleet_simulation(options chosen);
@@ -74,6 +87,10 @@
 
     /// @brief Submits a job of `tasks` tasks, with up to five attempts until it is answered.
     void submit(unsigned tasks, duration runTime, duration callerTimeout = 6s);
+    /// @brief Submits a job with one step to `route`, with up to five attempts until it is
+    /// answered.
+    void submit(const dispatch_route &route, const batch_step &work, std::string spec,
+                duration callerTimeout = 6s);
     /// @brief Disconnects the callers of open jobs, which do not submit them again.
     void disconnectCallers();
     [[nodiscard]] const std::map<batch_job_id, tracked_job> &jobs() const { return m_jobs; }
@@ -107,6 +124,8 @@
     [[nodiscard]] std::size_t runningTasks() const;
     /// @brief Number of runs started so far.
     [[nodiscard]] std::size_t starts() const { return m_starts; }
+    /// @brief Messages sent and received by a process so far.
+    [[nodiscard]] const message_count &traffic(const std::string &endpoint) const;
 
 private:
     struct process;
@@ -156,6 +175,7 @@
     std::int64_t m_lastLifetime = 1;
     std::uint64_t m_lastFence = 1'000;
     std::size_t m_starts = 0;
+    std::map<std::string, message_count> m_traffic; ///< by endpoint
 };
 
 } // namespace bamboohead::dispatch_test
