Lose no runs of an agent to a late report of its predecessor

Cause: a report of an agent whose target is cleared marked the runs of all other agents at the same endpoint as lost, whichever came later. A report of the old agent that was delayed in the network for some time thus marked the new agent's runs, and their tasks were started elsewhere while they ran.

Change: only agents that this entry knew before the stamp that the report echoes are taken for earlier ones. Ruled out: comparing incarnations, which are random, and the order of arrival, which shows nothing.

The new test fails without the comparison (1 run lost instead of 0).

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -207,7 +207,7 @@
     void handleTaskDone(job_record &job, const run_ref &ref);
     void handleTaskFailure(job_record &job, const run_ref &ref, incarnation_id agent);
     void requeueTask(job_record &job, const batch_task &task, incarnation_id avoidedAgent);
-    void markPredecessorRunsLost(const agent_view &successor);
+    void markPredecessorRunsLost(const agent_view &successor, time_point echo);
     void removeSilentAgents();
     [[nodiscard]] error_kind refusalReason(const dispatch_route &route,
                                            const batch_submission &job) const;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -46,6 +46,10 @@
     const auto received = m_member.receive(envelope);
     if (received.accepted && envelope.payload_case() == wire::Envelope::kDispatchReport) {
         handleReport(incarnation_id{envelope.sender()}, envelope);
+        const auto sender = m_pool.agents().find(incarnation_id{envelope.sender()});
+        if (sender != m_pool.agents().end() && sender->second.cleared && received.age) {
+            markPredecessorRunsLost(sender->second, m_member.now() - *received.age);
+        }
     }
 }
 
@@ -89,9 +93,6 @@
     if (report.reconcile() && report.peer_epoch() == agent.epoch) {
         reconcile(agent, report);
     }
-    if (agent.cleared) {
-        markPredecessorRunsLost(agent);
-    }
     m_dispatchDue = true;
 }
 
@@ -150,15 +151,19 @@
     }
 }
 
-/// Marks the runs of all other agents at the endpoint of `successor` as lost. Called when
-/// `successor` has reported its target as cleared, which proves that the runs of earlier agents
-/// there have ended. The other agents are taken for earlier ones; their incarnations are not
-/// compared.
-void dispatch_entry::markPredecessorRunsLost(const agent_view &successor)
+/// Marks the runs of earlier agents at the endpoint of `successor` as lost. Called when `successor`
+/// has reported its target as cleared, which proves that the runs of earlier agents there have
+/// ended.
+/// @param echo This entry's stamp that the report echoed. One agent runs at an endpoint at a time,
+///             so an agent that has received a stamp of a time at which another one was known
+///             already is the later one. Reports may be delayed, so the order of their arrival
+///             shows nothing.
+void dispatch_entry::markPredecessorRunsLost(const agent_view &successor, time_point echo)
 {
     for (auto &[incarnation, agent] : m_pool.agents()) {
-        const bool sameEndpoint = agent.endpoint == successor.endpoint && &agent != &successor;
-        if (sameEndpoint) {
+        const auto *const peer = m_member.links().find(incarnation);
+        if (agent.endpoint == successor.endpoint && &agent != &successor && peer != nullptr &&
+            peer->added < echo) {
             markRunsLost(agent, "agent_restarted");
         }
     }
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -36,8 +36,66 @@
     return refused;
 }
 
+constexpr incarnation_id entryId{1};
+
+/// Full report of an agent at the endpoint `a1` that has cleared its target.
+/// @param echo Stamp of the entry that the agent has received last.
+wire::Envelope reportOf(incarnation_id agent, time_point echo)
+{
+    wire::Envelope envelope;
+    envelope.set_sender(static_cast<std::uint64_t>(agent));
+    envelope.set_receiver(static_cast<std::uint64_t>(entryId));
+    envelope.set_endpoint("a1");
+    envelope.set_role(wire::ROLE_AGENT);
+    envelope.set_zone("graz");
+    envelope.set_stamp_us(1);
+    envelope.set_echo_us(toStamp(echo));
+    auto &report = *envelope.mutable_dispatch_report();
+    report.set_ready(true);
+    report.set_cleared(true);
+    report.set_reconcile(true);
+    report.set_service("quotes");
+    report.set_target("i-1");
+    toWire(resources{32'000, 65'536, 0}, *report.mutable_capacity());
+    return envelope;
+}
+
 } // namespace
 
+TEST_CASE("the runs of an agent are lost when its successor has cleared the target, and not when a "
+          "late report of its predecessor arrives")
+{
+    // A report may be delayed for seconds in a queue of the network. Guards against a task that is
+    // started elsewhere while its run on the target of the new agent continues.
+    constexpr incarnation_id predecessor{2};
+    constexpr incarnation_id agent{3};
+    constexpr incarnation_id successor{4};
+    manual_clock time;
+    time.advance(10s);
+    dispatch_entry_options options;
+    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    const auto beforeAgent = time.now();
+    time.advance(500ms);
+    entry.receive(reportOf(agent, time.now()));
+    entry.tick();
+    entry.submit(caller_request{1}, entry.config().routes.front(), smallJob(1));
+    (void)entry.takeActions();
+    REQUIRE(entry.counters().runsOrdered == 1);
+    time.advance(100ms);
+    SUBCASE("late report of the predecessor")
+    {
+        entry.receive(reportOf(predecessor, beforeAgent));
+        CHECK(entry.counters().runsLost == 0);
+    }
+    SUBCASE("report of the successor")
+    {
+        entry.receive(reportOf(successor, time.now()));
+        CHECK(entry.counters().runsLost == 1);
+    }
+}
+
 TEST_CASE("an entry whose own processor is overloaded refuses a share of the jobs at arrival")
 {
     // The ticks come every 200 ms, ten times too late, as they may when the load on a zone with one
