Keep the last configuration when the store's newer state has none

Cause: a newer desired state without a version, as after an operator has deleted or damaged the configuration, replaced the valid one, and the entry refused all callers.

Change: of such a state only the zones out of service are taken; the event config_without_version tells which version is kept. The new test fails without it.

--- a/include/bamboohead/dispatch/fleet_member.hpp
+++ b/include/bamboohead/dispatch/fleet_member.hpp
@@ -37,10 +37,12 @@
     /// @brief Adds endpoints of processes to ask for the entries; at most 64 are kept.
     void addContacts(const std::vector<std::string> &endpoints);
 
-    /// @brief Replaces the desired state by one from the store or a peer if that is newer.
+    /// @brief Replaces the desired state by one from the store or a peer if that is newer. Of a
+    ///        state without a configuration (version 0) only the zones out of service are taken, if
+    ///        a configuration is held: callers are served by the last valid one.
     /// @param source Origin of the state, for the log.
     /// @return Whether it was newer.
-    bool adopt(const desired_state &state, std::string_view source);
+    bool adopt(const desired_state &newer, std::string_view source);
     [[nodiscard]] const desired_state &config() const noexcept { return m_config; }
     /// @brief Requests the desired state of a peer when the revision that it reports is newer.
     ///        Requests to one peer are at least 300 ms apart.
--- a/src/dispatch/fleet_member.cpp
+++ b/src/dispatch/fleet_member.cpp
@@ -125,11 +125,20 @@
     }
 }
 
-bool fleet_member::adopt(const desired_state &state, std::string_view source)
+bool fleet_member::adopt(const desired_state &newer, std::string_view source)
 {
-    if (state.revision <= m_config.revision) {
+    if (newer.revision <= m_config.revision) {
         return false;
     }
+    auto state = newer;
+    if (newer.version == 0 && m_config.version != 0) {
+        log("config_without_version", {{"revision", std::to_string(newer.revision)},
+                                       {"kept_version", std::to_string(m_config.version)},
+                                       {"source", std::string{source}}});
+        state = m_config;
+        state.revision = newer.revision;
+        state.zonesOut = newer.zonesOut;
+    }
     if (state.version != m_config.version || state.zonesOut != m_config.zonesOut) {
         std::string zones;
         for (const auto &zone : state.zonesOut) {
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -96,6 +96,24 @@
     }
 }
 
+TEST_CASE("an entry keeps its configuration when the store has none any more")
+{
+    // Guards against an entry that refuses all callers because of one invalid change.
+    manual_clock time;
+    dispatch_entry_options options;
+    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    desired_state incomplete;
+    incomplete.revision = 2;
+    incomplete.zonesOut = {"graz"};
+    entry.handleConfig(incomplete);
+    CHECK(entry.config().version == 1);
+    CHECK(entry.config().routes.size() == 1);
+    CHECK(entry.config().revision == 2);
+    CHECK(entry.config().zoneOutOfService("graz"));
+}
+
 TEST_CASE("an entry whose own processor is overloaded refuses a share of the jobs at arrival")
 {
     // The ticks come every 200 ms, ten times too late, as they may when the load on a zone with one
