--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -205,15 +205,15 @@
     ++job.outstanding;
     job.started = true;
     ++m_counters.runsOrdered;
-    m_member.log(
-            "run_ordered",
-            {{"run", toText(ref)},
-             {"agent", toText(agent.incarnation)},
-             {"target", agent.target},
-             {"immediate", immediate ? "true" : "false"},
-             {"report_age_ms", std::to_string(toMilliseconds(m_member.now() - agent.lastReport))},
-             {"running_cpu", std::to_string(agent.running.cpuMillis)},
-             {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
+    const auto reportAge = toMilliseconds(m_member.now() - agent.lastReport);
+    m_member.log("run_ordered",
+                 {{"run", toText(ref)},
+                  {"agent", toText(agent.incarnation)},
+                  {"target", agent.target},
+                  {"immediate", immediate ? "true" : "false"},
+                  {"report_age_ms", std::to_string(reportAge)},
+                  {"running_cpu", std::to_string(agent.running.cpuMillis)},
+                  {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
 }
 
 } // namespace bamboohead
