Add labelled agents to the working set once a step, not for each task

agent_pool::choose() searched all agents for the label of a task each time; candidates(), which runs once for all tasks of a step, does it now. The tests of the entry share the options of their entry.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -201,9 +201,8 @@
                                             const placement_request &request);
     /// Replaces a part of the reported load of old reports by the mean load of all candidates.
     void estimateLoads(std::vector<placement_candidate> &candidates) const;
-    /// Adds agents with the label that the task needs or prefers to the working set, and reports a
-    /// shortage if no agent has free capacity.
-    void extendWorkingSet(const placement_request &request, bool shortage);
+    /// Adds agents with the label that the tasks need or prefer to the working set.
+    void addLabelledAgents(const placement_request &request);
     /// Whether an agent may run a further task of the step, apart from its load.
     [[nodiscard]] bool isEligible(const agent_view &agent, const placement_request &request) const;
     [[nodiscard]] static std::uint32_t outstandingTasks(const agent_view &agent,
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -116,18 +116,12 @@
     }
 }
 
-void agent_pool::extendWorkingSet(const placement_request &request, bool shortage)
+void agent_pool::addLabelledAgents(const placement_request &request)
 {
     const auto set = m_workingSets.find(request.service);
-    if (set == m_workingSets.end()) {
-        return;
-    }
-    if (shortage) {
-        set->second.reportShortage();
-    }
     const auto &label = request.taskStep->requiredLabel.empty() ? request.taskStep->preferredLabel
                                                                 : request.taskStep->requiredLabel;
-    if (label.empty()) {
+    if (set == m_workingSets.end() || label.empty()) {
         return;
     }
     for (const auto &[incarnation, agent] : m_agents) {
@@ -190,6 +184,7 @@
 
 std::vector<placement_candidate> agent_pool::candidates(const placement_request &request)
 {
+    addLabelledAgents(request);
     std::vector<placement_candidate> found;
     const auto now = m_member.now();
     for (auto &[incarnation, agent] : m_agents) {
@@ -237,7 +232,10 @@
                                 const placement_request &request)
 {
     const auto chosen = selectCandidate(candidates, request);
-    extendWorkingSet(request, !chosen.free);
+    const auto set = m_workingSets.find(request.service);
+    if (!chosen.free && set != m_workingSets.end()) {
+        set->second.reportShortage();
+    }
     if (chosen.candidate == nullptr) {
         return {};
     }
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -39,6 +39,13 @@
 constexpr incarnation_id entryId{1};
 constexpr incarnation_id agentId{3};
 
+dispatch_entry_options entryOptions()
+{
+    dispatch_entry_options options;
+    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
+    return options;
+}
+
 /// Full report of an agent at the endpoint `a1` that has cleared its target.
 /// @param echo Stamp of the entry that the agent has received last.
 wire::Envelope reportOf(incarnation_id agent, time_point echo)
@@ -73,9 +80,7 @@
     constexpr incarnation_id successor{4};
     manual_clock time;
     time.advance(10s);
-    dispatch_entry_options options;
-    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
-    dispatch_entry entry{options, time};
+    dispatch_entry entry{entryOptions(), time};
     entry.handleConfig(stateWithOneRoute());
     const auto beforeAgent = time.now();
     time.advance(500ms);
@@ -103,9 +108,7 @@
     // because of the small capacity that is known, although the other agents follow within moments.
     manual_clock time;
     time.advance(10s);
-    dispatch_entry_options options;
-    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
-    dispatch_entry entry{options, time};
+    dispatch_entry entry{entryOptions(), time};
     entry.handleConfig(stateWithOneRoute());
     auto route = entry.config().routes.front();
     route.stretch = 1.6;
@@ -141,9 +144,7 @@
 {
     // Guards against an entry that refuses all callers because of one invalid change.
     manual_clock time;
-    dispatch_entry_options options;
-    options.self = {entryId, "e1", wire::ROLE_ENTRY, "graz"};
-    dispatch_entry entry{options, time};
+    dispatch_entry entry{entryOptions(), time};
     entry.handleConfig(stateWithOneRoute());
     desired_state incomplete;
     incomplete.revision = 2;
