Count what becomes of the callers' requests

Nothing in logs or metrics told apart a request that was never read, one whose answer was cut off and one that was open when an entry exited. An entry now counts requests, responses, disconnects and connections that it cut, and logs the totals as callers_closed when it exits. No logic is changed.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -31,6 +31,22 @@
     std::size_t maxConnections = 3'000; ///< further connections are closed at once
 };
 
+/// @brief Monotonic counters of an async_http_server.
+///
+/// Once all connections are closed, a difference between `requests` and the sum of `responses`,
+/// `disconnects` and `cutSending` is the number of requests that got no response.
+struct async_http_counters
+{
+    std::uint64_t requests = 0;  ///< complete requests
+    std::uint64_t responses = 0; ///< responses that were passed to the operating system as a whole
+    std::uint64_t disconnects = 0; ///< requests whose connection ended before respond()
+    /// Connections that the server closed after it had read a part of a request.
+    std::uint64_t cutReceiving = 0;
+    /// Responses whose connection ended before they were passed to the operating system as a whole.
+    std::uint64_t cutSending = 0;
+    std::uint64_t overLimit = 0; ///< connections closed at `maxConnections`
+};
+
 /// @brief HTTP/1.1 server on the thread of an io_context.
 ///
 /// Unlike http_server, which uses one thread per connection, it can hold many unanswered requests,
@@ -63,6 +79,7 @@
     [[nodiscard]] bool sending() const;
     /// @brief Number of open connections.
     [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] const async_http_counters &counters() const noexcept;
     /// @brief Port that the server listens on.
     [[nodiscard]] std::uint16_t port() const;
 
--- a/include/bamboohead/metrics.hpp
+++ b/include/bamboohead/metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboohead/agent_core.hpp"
+#include "bamboohead/async_http_server.hpp"
 #include "bamboohead/dispatch/dispatch_agent.hpp"
 #include "bamboohead/dispatch/dispatch_entry.hpp"
 #include "bamboohead/entry_core.hpp"
@@ -28,6 +29,7 @@
     void update(const transport_counters &counters);
     void update(const dispatch_entry_counters &counters);
     void update(const dispatch_agent_counters &counters);
+    void update(const async_http_counters &counters);
     /// @}
 
     /// @brief Records the time from the arrival of a submission to its answer.
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -73,10 +73,13 @@
         response.version(11);
         response.prepare_payload();
         connection->response = std::move(response);
+        connection->sending = true;
         ++m_sending;
         http::async_write(connection->socket, connection->response,
                           [self = shared_from_this(), connection](error_code error, std::size_t) {
                               --self->m_sending;
+                              connection->sending = false;
+                              ++(error ? self->m_counters.cutSending : self->m_counters.responses);
                               self->handleWritten(connection, error);
                           });
     }
@@ -92,6 +95,7 @@
 
     bool sending() const { return m_sending > 0; }
     std::size_t connections() const { return m_connections.size(); }
+    const async_http_counters &counters() const { return m_counters; }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
@@ -113,6 +117,7 @@
         std::optional<http::request_parser<http::string_body>> parser;
         http_server_response response;
         bool awaitingResponse = false; ///< respond() was not yet called for its request
+        bool sending = false;          ///< its response is being sent
         bool keepAlive = true;
         std::chrono::steady_clock::time_point lastActive = std::chrono::steady_clock::now();
     };
@@ -142,6 +147,7 @@
     void accepted(tcp::socket socket)
     {
         if (m_connections.size() >= m_limits.maxConnections) {
+            ++m_counters.overLimit;
             return; // closes the socket
         }
         error_code ignored;
@@ -216,6 +222,7 @@
     {
         const auto request = from->parser->release();
         from->parser.reset();
+        ++m_counters.requests;
         from->keepAlive = request.keep_alive();
         from->awaitingResponse = true;
         assignNewExchange(from);
@@ -269,6 +276,7 @@
             connection->close();
             if (connection->awaitingResponse) {
                 connection->awaitingResponse = false;
+                ++m_counters.disconnects;
                 m_onDisconnect(connection->exchange);
             }
         }
@@ -303,6 +311,8 @@
             }
         }
         for (const auto &connection : idle) {
+            const bool receiving = connection->parser && connection->parser->got_some();
+            m_counters.cutReceiving += receiving ? 1 : 0;
             drop(connection);
         }
     }
@@ -316,6 +326,7 @@
     std::unordered_map<http_exchange, connection_ptr> m_connections;
     std::uint64_t m_lastExchange = 0;
     std::size_t m_sending = 0;
+    async_http_counters m_counters;
     bool m_closeAfterResponse = false;
     bool m_stopped = false;
 };
@@ -359,6 +370,11 @@
     return m_impl->connections();
 }
 
+const async_http_counters &async_http_server::counters() const noexcept
+{
+    return m_impl->counters();
+}
+
 std::uint16_t async_http_server::port() const
 {
     return m_impl->port();
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -43,6 +43,24 @@
     void closeAfterResponses() { m_callerServer.closeAfterResponses(); }
     void stopAccepting() { m_callerServer.stopAccepting(); }
     [[nodiscard]] bool sending() const { return m_callerServer.sending(); }
+    [[nodiscard]] const async_http_counters &counters() const noexcept
+    {
+        return m_callerServer.counters();
+    }
+
+    /// Logs what became of the requests of this process, at its end.
+    void logCounters() const
+    {
+        const auto &counters = m_callerServer.counters();
+        logLine(log_level::info, "callers_closed",
+                {{"requests", std::to_string(counters.requests)},
+                 {"responses", std::to_string(counters.responses)},
+                 {"disconnects", std::to_string(counters.disconnects)},
+                 {"cut_receiving", std::to_string(counters.cutReceiving)},
+                 {"cut_sending", std::to_string(counters.cutSending)},
+                 {"over_limit", std::to_string(counters.overLimit)},
+                 {"open", std::to_string(m_callerServer.connections())}});
+    }
 
 private:
     void handleReadinessCheck(http_exchange exchange, const http_server_request &request)
@@ -173,7 +191,9 @@
     });
     loop.setExitCondition([&] { return !callers.sending(); });
     logStart(options.self, settings.http);
+    loop.onHousekeeping([&] { loop.metrics().update(callers.counters()); });
     loop.run();
+    callers.logCounters();
     logLine(log_level::info, "process_ended", {});
 }
 
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -103,6 +103,11 @@
     void onAction(action_handler handler) { m_handleAction = std::move(handler); }
     /// @brief Sets a function that is called at each tick, before the core's tick().
     void onTick(std::function<void()> handler) { m_handleTick = std::move(handler); }
+    /// @brief Sets a function that is called at each housekeepingInterval, to update metrics.
+    void onHousekeeping(std::function<void()> handler)
+    {
+        m_handleHousekeeping = std::move(handler);
+    }
     /// @brief Sets a function that is called once, at the first SIGTERM or SIGINT.
     void onStop(std::function<void()> handler) { m_handleStop = std::move(handler); }
     /// @brief Sets a condition that must hold, after the core's shutdown is complete, before run()
@@ -220,6 +225,9 @@
             }
             m_metrics.update(m_transport.counters());
             m_metrics.update(m_core.counters());
+            if (m_handleHousekeeping) {
+                m_handleHousekeeping();
+            }
             if (m_settingsFile.changed()) {
                 reload("file_changed");
             }
@@ -334,6 +342,7 @@
     http_server m_adminServer;
     action_handler m_handleAction;
     std::function<void()> m_handleTick;
+    std::function<void()> m_handleHousekeeping;
     std::function<void()> m_handleStop;
     std::function<bool()> m_mayExit;
     std::chrono::steady_clock::time_point m_lastPass;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -25,6 +25,7 @@
 using agent_row = counter_row<agent_counters>;
 using dispatch_entry_row = counter_row<dispatch_entry_counters>;
 using dispatch_agent_row = counter_row<dispatch_agent_counters>;
+using caller_row = counter_row<async_http_counters>;
 using transport_row = counter_row<transport_counters>;
 
 constexpr std::array entryRows{
@@ -88,6 +89,25 @@
                       &transport_counters::peersReconnected},
 };
 
+constexpr std::array callerRows{
+        caller_row{"bamboohead_caller_requests_total", "Complete requests of callers.",
+                   &async_http_counters::requests},
+        caller_row{"bamboohead_caller_responses_total", "Responses sent as a whole.",
+                   &async_http_counters::responses},
+        caller_row{"bamboohead_caller_disconnects_total",
+                   "Requests whose connection ended before they were answered.",
+                   &async_http_counters::disconnects},
+        caller_row{"bamboohead_caller_cut_receiving_total",
+                   "Connections closed by the entry after it had read a part of a request.",
+                   &async_http_counters::cutReceiving},
+        caller_row{"bamboohead_caller_cut_sending_total",
+                   "Responses whose connection ended before they were sent as a whole.",
+                   &async_http_counters::cutSending},
+        caller_row{"bamboohead_caller_over_limit_total",
+                   "Connections closed because too many were open.",
+                   &async_http_counters::overLimit},
+};
+
 constexpr std::array dispatchEntryRows{
         dispatch_entry_row{"bamboohead_dispatch_jobs_submitted_total",
                            "Jobs submitted to this entry.", &dispatch_entry_counters::submitted},
@@ -242,6 +262,7 @@
             dispatchEntryRows};
     counter_group<dispatch_agent_counters, dispatchAgentRows.size()> dispatchAgent{
             dispatchAgentRows};
+    counter_group<async_http_counters, callerRows.size()> callers{callerRows};
     traffic_group sentTraffic{registry, "sent"};
     traffic_group receivedTraffic{registry, "received"};
     // Every process exports the histograms. Only entries observe `response`, only agents observe
@@ -293,6 +314,11 @@
     m_impl->dispatchAgent.update(m_impl->registry, counters);
 }
 
+void process_metrics::update(const async_http_counters &counters)
+{
+    m_impl->callers.update(m_impl->registry, counters);
+}
+
 void process_metrics::observeResponse(duration time)
 {
     m_impl->response.Observe(seconds(time));
