Answer requests that arrive while idle connections are closed

Callers saw: at a planned stop of an entry, a whole request that the entry had read got neither an answer nor a refusal, and its job could even start.

Cause: an asynchronous read took the bytes from the socket as soon as it was made or the socket was readable, and its handler ran later. In between, the tick of a stopping entry closed the connection, which looked idle: no bytes in its buffer and no request that waits. The handler then delivered the request, whose response went to a closed socket. The later the handlers run, as on an entry of 0.12 cores, the longer this window is. A request that was in the socket, not yet read, was lost in the same way.

The server now waits until a connection is readable and reads in the handler, so that bytes are either in the socket or handled; a connection with bytes in the socket is not idle.

Evidence: with the old server, the two tests fail (no status, connection closed); with the new one they pass.

--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -111,6 +111,13 @@
             socket.close(ignored);
         }
 
+        /// Whether bytes have arrived that were not read.
+        bool readable() const
+        {
+            error_code ignored;
+            return socket.available(ignored) > 0;
+        }
+
         tcp::socket socket;
         http_exchange exchange{};
         boost::beast::flat_buffer buffer;
@@ -152,11 +159,12 @@
         }
         error_code ignored;
         socket.set_option(tcp::no_delay{true}, ignored);
+        socket.non_blocking(true, ignored);
         const auto added = std::make_shared<http_connection>(std::move(socket));
         added->exchange = http_exchange{++m_lastExchange};
         m_connections.emplace(added->exchange, added);
         resetParser(*added);
-        read(added);
+        awaitBytes(added);
     }
 
     void resetParser(http_connection &connection) const
@@ -167,23 +175,34 @@
         connection.parser->header_limit(m_limits.maxRequestHeaderBytes);
     }
 
-    /// Keeps one read pending at all times, so that a disconnection is detected while the
-    /// connection's request waits for its response.
-    void read(const connection_ptr &from)
+    /// Waits for bytes at all times, so that a disconnection is detected while the connection's
+    /// request waits for its response. The bytes are read by the handler and not by an asynchronous
+    /// read, which could have taken them from the socket when the connection is closed as idle.
+    void awaitBytes(const connection_ptr &from)
     {
-        from->socket.async_read_some(
-                from->buffer.prepare(readBufferBytes),
-                [self = shared_from_this(), from](error_code error, std::size_t bytes) {
-                    if (error) {
-                        self->drop(from);
-                        return;
-                    }
-                    from->buffer.commit(bytes);
-                    from->lastActive = std::chrono::steady_clock::now();
-                    if (self->parse(from)) {
-                        self->read(from);
-                    }
-                });
+        from->socket.async_wait(tcp::socket::wait_read,
+                                [self = shared_from_this(), from](error_code error) {
+                                    if (!error && self->read(from)) {
+                                        self->awaitBytes(from);
+                                    }
+                                });
+    }
+
+    /// Reads and handles the bytes that have arrived.
+    /// @return Whether the connection stays open for reading.
+    bool read(const connection_ptr &from)
+    {
+        error_code error;
+        const auto bytes = from->socket.read_some(from->buffer.prepare(readBufferBytes), error);
+        if (error == asio::error::would_block) {
+            return true;
+        }
+        if (error) {
+            return drop(from);
+        }
+        from->buffer.commit(bytes);
+        from->lastActive = std::chrono::steady_clock::now();
+        return parse(from);
     }
 
     /// Parses the buffered bytes and delivers the request when it is complete.
@@ -306,7 +325,7 @@
         std::vector<connection_ptr> idle;
         for (const auto &[exchange, connection] : m_connections) {
             if (!connection->awaitingResponse && connection->buffer.size() == 0 &&
-                connection->lastActive < lastActiveBefore) {
+                connection->lastActive < lastActiveBefore && !connection->readable()) {
                 idle.push_back(connection);
             }
         }
--- /dev/null
+++ b/tests/async_http_server_test.cpp
@@ -0,0 +1,147 @@
+#include "bamboohead/async_http_server.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+const std::string wholeRequest =
+        "POST /job HTTP/1.1\r\nHost: desk\r\nContent-Length: 4\r\n\r\nbody";
+
+/// Caller with a raw connection. It reads only when it is told to.
+class raw_caller
+{
+public:
+    raw_caller(asio::io_context &context, std::uint16_t port,
+               std::optional<int> receiveBufferBytes = std::nullopt)
+        : m_socket{context}
+    {
+        m_socket.open(tcp::v4());
+        if (receiveBufferBytes) {
+            m_socket.set_option(asio::socket_base::receive_buffer_size{*receiveBufferBytes});
+        }
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+        m_socket.non_blocking(true);
+    }
+
+    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+
+    /// Reads what has arrived.
+    void receive()
+    {
+        std::vector<char> part(65'536);
+        while (!m_end) {
+            error_code error;
+            const auto bytes = m_socket.read_some(asio::buffer(part), error);
+            m_received.append(part.data(), bytes);
+            if (error == asio::error::would_block) {
+                return;
+            }
+            if (error) {
+                m_end = error;
+            }
+        }
+    }
+
+    const std::string &received() const { return m_received; }
+    bool closed() const { return m_end.has_value(); }
+    bool reset() const { return m_end && *m_end != asio::error::eof; }
+    int status() const { return m_received.size() < 12 ? 0 : std::stoi(m_received.substr(9, 3)); }
+
+private:
+    tcp::socket m_socket;
+    std::string m_received;
+    std::optional<error_code> m_end;
+};
+
+/// Server that answers each request with 503, at once or later.
+struct server_fixture
+{
+    void respond(http_exchange exchange)
+    {
+        http_server_response response{http::status::service_unavailable, 11};
+        response.body() = std::string(responseBytes, 'r');
+        server.respond(exchange, std::move(response));
+    }
+
+    /// Runs all handlers that are ready, and those that become ready within a short time.
+    void run(std::chrono::milliseconds time = 20ms) { context.restart(), context.run_for(time); }
+
+    /// Runs until the caller has received a response or its connection has ended.
+    void runUntilAnswered(raw_caller &caller)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 2s;
+        while (caller.received().size() < responseBytes && !caller.closed() &&
+               std::chrono::steady_clock::now() < limit) {
+            run(5ms);
+            caller.receive();
+        }
+    }
+
+    asio::io_context context;
+    std::size_t responseBytes = 10;
+    bool answersAtOnce = true;
+    std::vector<http_exchange> waiting;
+    std::vector<http_exchange> disconnected;
+    async_http_server server{context,
+                             "127.0.0.1:0",
+                             {},
+                             [this](http_exchange exchange, const http_server_request &) {
+                                 if (answersAtOnce) {
+                                     respond(exchange);
+                                 } else {
+                                     waiting.push_back(exchange);
+                                 }
+                             },
+                             [this](http_exchange exchange) { disconnected.push_back(exchange); }};
+};
+
+} // namespace
+
+// Guards against requests that were read but dropped, because the connection was closed as idle
+// before the handler of the read ran.
+TEST_CASE_FIXTURE(server_fixture,
+                  "a request that arrives while idle connections are closed is answered")
+{
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest);
+    // Idle connections are closed between each two handlers.
+    const auto limit = std::chrono::steady_clock::now() + 1s;
+    while (caller.received().empty() && !caller.closed() &&
+           std::chrono::steady_clock::now() < limit) {
+        context.restart();
+        context.poll_one();
+        server.stopAccepting();
+        caller.receive();
+    }
+    CHECK(caller.status() == 503);
+}
+
+// Guards against requests on open connections that have arrived but were not read before a stop.
+TEST_CASE_FIXTURE(server_fixture, "a request that was not read before a stop is answered")
+{
+    raw_caller caller{context, server.port()};
+    run();
+    caller.send(wholeRequest);
+    server.closeAfterResponses();
+    server.stopAccepting();
+    runUntilAnswered(caller);
+    CHECK(caller.status() == 503);
+}
