Count only connections without any part of a request as idle

Callers saw: an answer was cut off in the middle, or the connection was closed while the body of the request was still arriving, when the entry was asked to stop.

Cause: a stopping entry closes idle connections at each tick, and a connection counted as idle once respond() was called, although the response was still being written, and while the parser had consumed all bytes that had arrived of a request. A caller that shut down its sending side after its request also lost the rest of the response.

A connection now has one stage: none, receiving, waiting, sending or closing. Only a connection in stage none is idle. The idle timeout applies to all stages but waiting, as before.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -25,8 +25,8 @@
 {
     std::uint64_t maxRequestBodyBytes = 262'144;
     std::uint32_t maxRequestHeaderBytes = 16'384;
-    /// A connection without an unanswered request is closed after it received and sent nothing for
-    /// this long.
+    /// A connection without an unanswered request is closed after it made no progress for this
+    /// long.
     duration idleTimeout = std::chrono::seconds{60};
     std::size_t maxConnections = 3'000; ///< further connections are closed at once
 };
@@ -72,8 +72,8 @@
     void respond(http_exchange exchange, http_server_response response);
     /// @brief Makes each response from now on close its connection.
     void closeAfterResponses();
-    /// @brief Stops accepting connections and closes those that neither wait for a response nor
-    ///        have unparsed bytes.
+    /// @brief Stops accepting connections and closes those on which nothing of a request has
+    ///        arrived since the last response.
     void stopAccepting();
     /// @brief Whether a response is still being sent.
     [[nodiscard]] bool sending() const;
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -22,6 +22,15 @@
 constexpr auto idleCheckInterval = std::chrono::seconds{1};
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50}; ///< after a failed accept
 
+/// Stage of the request that a connection handles.
+enum class request_stage : std::uint8_t {
+    none,      ///< nothing of a request has been read
+    receiving, ///< a part of the request has been read
+    waiting,   ///< the request waits for respond()
+    sending,   ///< the response is being sent
+    closing,   ///< the last response was sent, and the peer has yet to close the connection
+};
+
 tcp::endpoint parseEndpoint(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -64,21 +73,19 @@
     void respond(http_exchange exchange, http_server_response response)
     {
         const auto found = m_connections.find(exchange);
-        if (found == m_connections.end() || !found->second->awaitingResponse) {
+        if (found == m_connections.end() || found->second->stage != request_stage::waiting) {
             return;
         }
         const auto connection = found->second;
-        connection->awaitingResponse = false;
+        connection->stage = request_stage::sending;
         response.keep_alive(connection->keepAlive && !m_closeAfterResponse);
         response.version(11);
         response.prepare_payload();
         connection->response = std::move(response);
-        connection->sending = true;
         ++m_sending;
         http::async_write(connection->socket, connection->response,
                           [self = shared_from_this(), connection](error_code error, std::size_t) {
                               --self->m_sending;
-                              connection->sending = false;
                               ++(error ? self->m_counters.cutSending : self->m_counters.responses);
                               self->handleWritten(connection, error);
                           });
@@ -90,7 +97,7 @@
     {
         error_code ignored;
         m_acceptor.close(ignored);
-        closeIdleConnections(std::chrono::steady_clock::now());
+        closeIdleConnections();
     }
 
     bool sending() const { return m_sending > 0; }
@@ -123,8 +130,8 @@
         boost::beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         http_server_response response;
-        bool awaitingResponse = false; ///< respond() was not yet called for its request
-        bool sending = false;          ///< its response is being sent
+        request_stage stage = request_stage::none;
+        bool peerFinished = false; ///< the peer sends no more requests
         bool keepAlive = true;
         std::chrono::steady_clock::time_point lastActive = std::chrono::steady_clock::now();
     };
@@ -197,6 +204,11 @@
         if (error == asio::error::would_block) {
             return true;
         }
+        if (error == asio::error::eof && from->stage == request_stage::sending) {
+            // The peer sends no more requests, but may still read the response.
+            from->peerFinished = true;
+            return false;
+        }
         if (error) {
             return drop(from);
         }
@@ -209,7 +221,11 @@
     /// @return Whether the connection stays open for reading.
     bool parse(const connection_ptr &from)
     {
-        if (from->awaitingResponse || !from->parser) {
+        if (from->stage == request_stage::closing) {
+            from->buffer.clear();
+            return true;
+        }
+        if (from->stage == request_stage::waiting || from->stage == request_stage::sending) {
             // A pipelined request stays in the buffer until the previous one is answered. A buffer
             // that exceeds the size limits of a request closes the connection.
             return from->buffer.size() <=
@@ -220,6 +236,7 @@
             error_code error;
             const auto used = from->parser->put(from->buffer.data(), error);
             from->buffer.consume(used);
+            from->stage = request_stage::receiving;
             if (error == http::error::need_more) {
                 return true;
             }
@@ -243,7 +260,7 @@
         from->parser.reset();
         ++m_counters.requests;
         from->keepAlive = request.keep_alive();
-        from->awaitingResponse = true;
+        from->stage = request_stage::waiting;
         assignNewExchange(from);
         m_onRequest(from->exchange, request);
     }
@@ -263,7 +280,7 @@
                 error == http::error::body_limit || error == http::error::header_limit;
         from->keepAlive = false;
         from->parser.reset();
-        from->awaitingResponse = true;
+        from->stage = request_stage::waiting;
         respond(from->exchange, http_server_response{exceedsLimit ? http::status::payload_too_large
                                                                   : http::status::bad_request,
                                                      11});
@@ -276,13 +293,20 @@
             drop(connection);
             return;
         }
+        if (connection->peerFinished) {
+            drop(connection);
+            return;
+        }
         if (!connection->response.keep_alive()) {
             // Only the sending side is shut down, and the peer closes the connection after it has
             // read the response. Closing a socket with unread bytes would reset the connection.
             error_code ignored;
             connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
+            connection->stage = request_stage::closing;
+            connection->buffer.clear();
             return;
         }
+        connection->stage = request_stage::none;
         resetParser(*connection);
         parse(connection);
     }
@@ -293,8 +317,8 @@
     {
         if (m_connections.erase(connection->exchange) > 0) {
             connection->close();
-            if (connection->awaitingResponse) {
-                connection->awaitingResponse = false;
+            if (std::exchange(connection->stage, request_stage::closing) ==
+                request_stage::waiting) {
                 ++m_counters.disconnects;
                 m_onDisconnect(connection->exchange);
             }
@@ -302,8 +326,8 @@
         return false;
     }
 
-    /// At each idleCheckInterval, closes the connections that have been idle for longer than the
-    /// idle timeout.
+    /// At each idleCheckInterval, closes the connections without an unanswered request that made no
+    /// progress for longer than the idle timeout.
     void scheduleIdleCheck()
     {
         m_idleCheckTimer.expires_after(idleCheckInterval);
@@ -311,27 +335,32 @@
             if (error || self->m_stopped) {
                 return;
             }
-            self->closeIdleConnections(std::chrono::steady_clock::now() -
-                                       self->m_limits.idleTimeout);
+            const auto since = std::chrono::steady_clock::now() - self->m_limits.idleTimeout;
+            self->closeWhere([since](const http_connection &connection) {
+                return connection.stage != request_stage::waiting && connection.lastActive < since;
+            });
             self->scheduleIdleCheck();
         });
     }
 
-    /// Closes connections that neither wait for respond() nor have unparsed bytes, and were last
-    /// active before `lastActiveBefore`. Among them are connections whose response is still being
-    /// written, and those with a partly received body whose bytes the parser has consumed.
-    void closeIdleConnections(std::chrono::steady_clock::time_point lastActiveBefore)
+    void closeIdleConnections()
+    {
+        closeWhere([](const http_connection &connection) {
+            return connection.stage == request_stage::none && !connection.readable();
+        });
+    }
+
+    template <typename Predicate>
+    void closeWhere(Predicate predicate)
     {
-        std::vector<connection_ptr> idle;
+        std::vector<connection_ptr> chosen;
         for (const auto &[exchange, connection] : m_connections) {
-            if (!connection->awaitingResponse && connection->buffer.size() == 0 &&
-                connection->lastActive < lastActiveBefore && !connection->readable()) {
-                idle.push_back(connection);
+            if (predicate(*connection)) {
+                chosen.push_back(connection);
             }
         }
-        for (const auto &connection : idle) {
-            const bool receiving = connection->parser && connection->parser->got_some();
-            m_counters.cutReceiving += receiving ? 1 : 0;
+        for (const auto &connection : chosen) {
+            m_counters.cutReceiving += connection->stage == request_stage::receiving ? 1 : 0;
             drop(connection);
         }
     }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -43,6 +43,8 @@
 
     void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
 
+    void finishSending() { m_socket.shutdown(tcp::socket::shutdown_send); }
+
     /// Reads what has arrived.
     void receive()
     {
@@ -145,3 +147,51 @@
     runUntilAnswered(caller);
     CHECK(caller.status() == 503);
 }
+
+// Guards against answers that are cut off because a connection counts as idle while its response is
+// being sent.
+TEST_CASE_FIXTURE(server_fixture, "a response that is being sent is not cut off by a stop")
+{
+    responseBytes = 8'000'000;
+    raw_caller caller{context, server.port(), 4'096};
+    caller.send(wholeRequest);
+    run();
+    REQUIRE(server.sending());
+    server.closeAfterResponses();
+    server.stopAccepting();
+    run();
+    server.stopAccepting();
+    runUntilAnswered(caller);
+    CHECK(caller.received().size() > responseBytes);
+}
+
+// Guards against requests of which a stopping server has read only the beginning.
+TEST_CASE_FIXTURE(server_fixture, "a request that is partly received at a stop is answered")
+{
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest.substr(0, wholeRequest.size() - 2));
+    run();
+    server.closeAfterResponses();
+    server.stopAccepting();
+    run();
+    caller.receive();
+    REQUIRE(!caller.closed());
+    caller.send(wholeRequest.substr(wholeRequest.size() - 2));
+    runUntilAnswered(caller);
+    CHECK(caller.status() == 503);
+}
+
+// Guards against answers that are cut off when the caller shuts down its sending side meanwhile.
+TEST_CASE_FIXTURE(server_fixture, "a response is sent as a whole to a caller that sends no more")
+{
+    responseBytes = 8'000'000;
+    raw_caller caller{context, server.port(), 4'096};
+    caller.send(wholeRequest);
+    run();
+    REQUIRE(server.sending());
+    caller.finishSending();
+    run();
+    runUntilAnswered(caller);
+    CHECK(caller.received().size() > responseBytes);
+    CHECK(server.connections() == 0);
+}
