Exit only after all callers have read their answers

Callers saw: at a planned stop, a connection was reset although a whole request had been sent on it, or before its answer had been read.

Cause: 2.5 s after SIGTERM an entry closed its listening socket, which resets the connections that were established and not yet accepted, and it exited as soon as no job was open and no response was being written. Requests that were in a socket or partly received then got no answer. An exit with unread bytes resets the connection, which also discards an answer that the caller has not read yet. The load balancer still sends callers to a stopping entry when it is one of few in its zone.

The entry now accepts connections until its jobs have ended, and refuses their jobs as not run. It then accepts what has been established, closes the listening socket, answers what arrives on the open connections, and exits when each caller has closed its connection or had 500 ms for reading the answer; at the latest 5.75 s after SIGTERM, before the platform kills it. A connection on which no request arrived is closed as idle only after 500 ms.

With the acceptance at the end, the wait for closing peers and the 500 ms taken out, three of the new tests fail.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -28,6 +28,9 @@
     /// A connection without an unanswered request is closed after it made no progress for this
     /// long.
     duration idleTimeout = std::chrono::seconds{60};
+    /// On a stop, a connection that was accepted or sent a response may still deliver a request, or
+    /// the peer may still read the response, for this long.
+    duration lingerTimeout = std::chrono::milliseconds{500};
     std::size_t maxConnections = 3'000; ///< further connections are closed at once
 };
 
@@ -72,11 +75,15 @@
     void respond(http_exchange exchange, http_server_response response);
     /// @brief Makes each response from now on close its connection.
     void closeAfterResponses();
-    /// @brief Stops accepting connections and closes those on which nothing of a request has
-    ///        arrived since the last response.
-    void stopAccepting();
-    /// @brief Whether a response is still being sent.
-    [[nodiscard]] bool sending() const;
+    /// @brief Closes the connections on which nothing of a request has arrived for `lingerTimeout`.
+    void closeIdleConnections();
+    /// @brief Stops accepting connections; to be called until finished(). Requests on the open
+    ///        connections are still delivered, including those that were waiting to be accepted,
+    ///        and each response closes its connection. Idle connections are closed.
+    void finish();
+    /// @brief Whether, after finish(), each request has been answered as a whole and each peer has
+    ///        closed its connection or had `lingerTimeout` for reading the response.
+    [[nodiscard]] bool finished() const;
     /// @brief Number of open connections.
     [[nodiscard]] std::size_t connections() const;
     [[nodiscard]] const async_http_counters &counters() const noexcept;
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -50,6 +50,9 @@
     duration minDrainTime = std::chrono::milliseconds{2'500};
     /// Longest drain: the platform kills a process 6 s after it has asked it to stop.
     duration drainTimeout = std::chrono::milliseconds{5'500};
+    /// Time after which a stopping entry exits although not all callers have read their responses;
+    /// shorter than the 6 s after which the platform kills it.
+    duration exitTimeout = std::chrono::milliseconds{5'750};
     /// Time limit of jobs whose callers give none. The limit of a job's route is not applied.
     duration defaultCallerTimeout = std::chrono::seconds{30};
     /// Time without a usable agent of any service after which a job is refused if its service has
@@ -147,6 +150,10 @@
     /// @brief Whether new jobs are refused because `minDrainTime` has passed since the shutdown
     ///        started.
     [[nodiscard]] bool refusesJobs() const;
+    /// @brief Whether `shutdown_complete` was emitted.
+    [[nodiscard]] bool shutdownComplete() const noexcept { return m_shutdownReported; }
+    /// @brief Whether `exitTimeout` has passed since the shutdown started.
+    [[nodiscard]] bool exitDue() const;
     [[nodiscard]] const dispatch_entry_counters &counters() const noexcept { return m_counters; }
     /// @brief Current state as JSON, for operators.
     [[nodiscard]] boost::json::value dump() const;
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -5,9 +5,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace bamboohead {
 
@@ -50,11 +52,14 @@
         , m_onDisconnect{std::move(onDisconnect)}
         , m_acceptor{context, parseEndpoint(address)}
         , m_idleCheckTimer{context}
-    {}
+        , m_acceptRetryTimer{context}
+    {
+        m_acceptor.non_blocking(true);
+    }
 
     void start()
     {
-        accept();
+        awaitConnections();
         scheduleIdleCheck();
     }
 
@@ -63,6 +68,7 @@
         error_code ignored;
         m_acceptor.close(ignored);
         m_idleCheckTimer.cancel();
+        m_acceptRetryTimer.cancel();
         m_stopped = true;
         auto connections = std::exchange(m_connections, {});
         for (auto &[exchange, connection] : connections) {
@@ -82,10 +88,8 @@
         response.version(11);
         response.prepare_payload();
         connection->response = std::move(response);
-        ++m_sending;
         http::async_write(connection->socket, connection->response,
                           [self = shared_from_this(), connection](error_code error, std::size_t) {
-                              --self->m_sending;
                               ++(error ? self->m_counters.cutSending : self->m_counters.responses);
                               self->handleWritten(connection, error);
                           });
@@ -93,14 +97,34 @@
 
     void closeAfterResponses() { m_closeAfterResponse = true; }
 
-    void stopAccepting()
+    void closeIdleConnections()
     {
-        error_code ignored;
-        m_acceptor.close(ignored);
+        const auto since = std::chrono::steady_clock::now() - m_limits.lingerTimeout;
+        closeWhere([since](const http_connection &connection) {
+            return connection.stage == request_stage::none && connection.lastActive < since &&
+                   !connection.readable();
+        });
+    }
+
+    void finish()
+    {
+        if (m_acceptor.is_open()) {
+            acceptAll();
+            error_code ignored;
+            m_acceptor.close(ignored);
+        }
+        m_closeAfterResponse = true;
         closeIdleConnections();
     }
 
-    bool sending() const { return m_sending > 0; }
+    bool finished() const
+    {
+        const auto since = std::chrono::steady_clock::now() - m_limits.lingerTimeout;
+        return !m_acceptor.is_open() && std::ranges::all_of(m_connections, [&](const auto &each) {
+            return each.second->stage == request_stage::closing && each.second->lastActive < since;
+        });
+    }
+
     std::size_t connections() const { return m_connections.size(); }
     const async_http_counters &counters() const { return m_counters; }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
@@ -138,24 +162,47 @@
 
     using connection_ptr = std::shared_ptr<http_connection>;
 
-    void accept()
+    /// Waits for connections. They are accepted by the handler and not by an asynchronous accept,
+    /// which could have taken one from the queue when the listening socket is closed.
+    void awaitConnections()
     {
-        m_acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
-            if (self->m_stopped) {
-                return;
+        m_acceptor.async_wait(tcp::acceptor::wait_read,
+                              [self = shared_from_this()](error_code error) {
+                                  if (error || !self->m_acceptor.is_open()) {
+                                      return;
+                                  }
+                                  if (self->acceptAll()) {
+                                      self->awaitConnections();
+                                      return;
+                                  }
+                                  self->m_acceptRetryTimer.expires_after(acceptRetryDelay);
+                                  self->m_acceptRetryTimer.async_wait([self](error_code stopped) {
+                                      if (!stopped && self->m_acceptor.is_open()) {
+                                          self->awaitConnections();
+                                      }
+                                  });
+                              });
+    }
+
+    /// Accepts the connections that have been established.
+    /// @return False when one of them could not be accepted.
+    bool acceptAll()
+    {
+        while (true) {
+            error_code error;
+            tcp::socket socket{m_acceptor.get_executor()};
+            m_acceptor.accept(socket, error);
+            if (error == asio::error::would_block) {
+                return true;
             }
-            if (error == asio::error::operation_aborted) {
-                return;
+            if (error == asio::error::connection_aborted) {
+                continue; // by the peer, before it was accepted
             }
             if (error) {
-                self->m_acceptRetryTimer.emplace(self->m_idleCheckTimer.get_executor(),
-                                                 acceptRetryDelay);
-                self->m_acceptRetryTimer->async_wait([self](error_code) { self->accept(); });
-                return;
+                return false;
             }
-            self->accepted(std::move(socket));
-            self->accept();
-        });
+            accepted(std::move(socket));
+        }
     }
 
     void accepted(tcp::socket socket)
@@ -343,13 +390,6 @@
         });
     }
 
-    void closeIdleConnections()
-    {
-        closeWhere([](const http_connection &connection) {
-            return connection.stage == request_stage::none && !connection.readable();
-        });
-    }
-
     template <typename Predicate>
     void closeWhere(Predicate predicate)
     {
@@ -370,10 +410,9 @@
     disconnect_handler m_onDisconnect;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_idleCheckTimer;
-    std::optional<asio::steady_timer> m_acceptRetryTimer;
+    asio::steady_timer m_acceptRetryTimer;
     std::unordered_map<http_exchange, connection_ptr> m_connections;
     std::uint64_t m_lastExchange = 0;
-    std::size_t m_sending = 0;
     async_http_counters m_counters;
     bool m_closeAfterResponse = false;
     bool m_stopped = false;
@@ -398,9 +437,9 @@
     m_impl->respond(exchange, std::move(response));
 }
 
-void async_http_server::stopAccepting()
+void async_http_server::closeIdleConnections()
 {
-    m_impl->stopAccepting();
+    m_impl->closeIdleConnections();
 }
 
 void async_http_server::closeAfterResponses()
@@ -408,9 +447,14 @@
     m_impl->closeAfterResponses();
 }
 
-bool async_http_server::sending() const
+void async_http_server::finish()
+{
+    m_impl->finish();
+}
+
+bool async_http_server::finished() const
 {
-    return m_impl->sending();
+    return m_impl->finished();
 }
 
 std::size_t async_http_server::connections() const
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -41,8 +41,9 @@
     }
 
     void closeAfterResponses() { m_callerServer.closeAfterResponses(); }
-    void stopAccepting() { m_callerServer.stopAccepting(); }
-    [[nodiscard]] bool sending() const { return m_callerServer.sending(); }
+    void closeIdleConnections() { m_callerServer.closeIdleConnections(); }
+    void finish() { m_callerServer.finish(); }
+    [[nodiscard]] bool finished() const { return m_callerServer.finished(); }
     [[nodiscard]] const async_http_counters &counters() const noexcept
     {
         return m_callerServer.counters();
@@ -185,11 +186,15 @@
     });
     loop.onStop([&] { callers.closeAfterResponses(); });
     loop.onTick([&] {
-        if (core.refusesJobs()) {
-            callers.stopAccepting();
+        if (core.shutdownComplete()) {
+            callers.finish();
+        } else if (core.refusesJobs()) {
+            // The callers then open a connection to another entry. Those that still arrive here
+            // are refused.
+            callers.closeIdleConnections();
         }
     });
-    loop.setExitCondition([&] { return !callers.sending(); });
+    loop.setExitCondition([&] { return callers.finished() || core.exitDue(); });
     logStart(options.self, settings.http);
     loop.onHousekeeping([&] { loop.metrics().update(callers.counters()); });
     loop.run();
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -40,6 +40,11 @@
     return m_drainStart && m_member.now() - *m_drainStart >= m_options.limits.minDrainTime;
 }
 
+bool dispatch_entry::exitDue() const
+{
+    return m_drainStart && m_member.now() - *m_drainStart >= m_options.limits.exitTimeout;
+}
+
 void dispatch_entry::setObjective(job_record &job) const
 {
     const auto criticalPath =
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -86,6 +86,14 @@
     /// Runs all handlers that are ready, and those that become ready within a short time.
     void run(std::chrono::milliseconds time = 20ms) { context.restart(), context.run_for(time); }
 
+    /// Closes the connections that are idle, without lingering.
+    static async_http_limits limits()
+    {
+        async_http_limits limits;
+        limits.lingerTimeout = 0ms;
+        return limits;
+    }
+
     /// Runs until the caller has received a response or its connection has ended.
     void runUntilAnswered(raw_caller &caller)
     {
@@ -102,9 +110,7 @@
     bool answersAtOnce = true;
     std::vector<http_exchange> waiting;
     std::vector<http_exchange> disconnected;
-    async_http_server server{context,
-                             "127.0.0.1:0",
-                             {},
+    async_http_server server{context, "127.0.0.1:0", limits(),
                              [this](http_exchange exchange, const http_server_request &) {
                                  if (answersAtOnce) {
                                      respond(exchange);
@@ -130,7 +136,7 @@
            std::chrono::steady_clock::now() < limit) {
         context.restart();
         context.poll_one();
-        server.stopAccepting();
+        server.closeIdleConnections();
         caller.receive();
     }
     CHECK(caller.status() == 503);
@@ -142,8 +148,7 @@
     raw_caller caller{context, server.port()};
     run();
     caller.send(wholeRequest);
-    server.closeAfterResponses();
-    server.stopAccepting();
+    server.finish();
     runUntilAnswered(caller);
     CHECK(caller.status() == 503);
 }
@@ -156,11 +161,12 @@
     raw_caller caller{context, server.port(), 4'096};
     caller.send(wholeRequest);
     run();
-    REQUIRE(server.sending());
-    server.closeAfterResponses();
-    server.stopAccepting();
+    REQUIRE(server.counters().requests == 1);
+    REQUIRE(server.counters().responses == 0);
+    server.finish();
     run();
-    server.stopAccepting();
+    server.finish();
+    CHECK(!server.finished());
     runUntilAnswered(caller);
     CHECK(caller.received().size() > responseBytes);
 }
@@ -171,8 +177,7 @@
     raw_caller caller{context, server.port()};
     caller.send(wholeRequest.substr(0, wholeRequest.size() - 2));
     run();
-    server.closeAfterResponses();
-    server.stopAccepting();
+    server.finish();
     run();
     caller.receive();
     REQUIRE(!caller.closed());
@@ -188,10 +193,74 @@
     raw_caller caller{context, server.port(), 4'096};
     caller.send(wholeRequest);
     run();
-    REQUIRE(server.sending());
+    REQUIRE(server.counters().requests == 1);
+    REQUIRE(server.counters().responses == 0);
     caller.finishSending();
     run();
     runUntilAnswered(caller);
     CHECK(caller.received().size() > responseBytes);
     CHECK(server.connections() == 0);
 }
+
+// Guards against callers whose connection was established but not accepted before a stop.
+TEST_CASE_FIXTURE(server_fixture, "a connection that was not accepted before a stop is answered")
+{
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest);
+    server.finish();
+    CHECK(!server.finished());
+    runUntilAnswered(caller);
+    CHECK(caller.status() == 503);
+}
+
+// Guards against an exit that resets connections before their callers have read the response.
+TEST_CASE("a stopped server waits until its callers have closed their connections")
+{
+    asio::io_context context;
+    async_http_limits limits;
+    limits.lingerTimeout = 200ms;
+    std::optional<async_http_server> server;
+    server.emplace(
+            context, "127.0.0.1:0", limits,
+            [&](http_exchange exchange, const http_server_request &) {
+                server->respond(exchange, {http::status::service_unavailable, 11});
+            },
+            [](http_exchange) {});
+    std::optional<raw_caller> caller;
+    caller.emplace(context, server->port());
+    caller->send(wholeRequest);
+    server->finish();
+    context.run_for(50ms);
+    server->finish();
+    CHECK(server->counters().responses == 1);
+    CHECK(!server->finished());
+
+    SUBCASE("the caller closes its connection")
+    {
+        caller.reset();
+    }
+    SUBCASE("the caller keeps its connection open")
+    {
+        context.run_for(250ms);
+    }
+    context.run_for(20ms);
+    CHECK(server->finished());
+}
+
+// Guards against connections that are closed between their acceptance and their first request.
+TEST_CASE("a connection is idle only after the linger timeout")
+{
+    asio::io_context context;
+    async_http_limits limits;
+    limits.lingerTimeout = 100ms;
+    async_http_server server{context, "127.0.0.1:0", limits,
+                             [](http_exchange, const http_server_request &) {},
+                             [](http_exchange) {}};
+    raw_caller caller{context, server.port()};
+    context.run_for(20ms);
+    server.closeIdleConnections();
+    CHECK(server.connections() == 1);
+    context.run_for(120ms);
+    server.closeIdleConnections();
+    CHECK(server.connections() == 0);
+}
