Answer the callers of all open jobs when a drain limit ends

Callers saw: a job that was still open 5.5 s after its entry was asked to stop got no answer; its connection ended.

Cause: the entry reported the end of its shutdown at the drain limit without ending the jobs that were open, and the process exited.

The open jobs now end first. A job of which no task was ordered is refused as stopping (not run). A job that may have run is answered with the new error interrupted (502), after which its caller may submit it again; its runs are stopped at once, or by the end of the entry's lease. A request that joins such a job afterwards gets the same answer.

Evidence: with the old code the new test gets the end of the shutdown and no reply.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -130,7 +130,8 @@
     /// @brief Does the periodic work; to be called every `tickPeriod`.
     void tick();
     /// @brief Starts a graceful shutdown. Emits `shutdown_complete` when the open jobs have
-    ///        ended and `minDrainTime` has passed, or else after `drainTimeout`.
+    ///        ended and `minDrainTime` has passed, or else after `drainTimeout`, when the callers
+    ///        of the open jobs have been answered.
     void stop();
 
     // Outputs
@@ -222,6 +223,7 @@
     [[nodiscard]] error_kind refusalReason(const dispatch_route &route,
                                            const batch_submission &job) const;
     void refuse(caller_request request, batch_job_id id, error_kind why, duration retryAfter);
+    void refuseJob(job_record &job, error_kind why, duration retryAfter);
     void setObjective(job_record &job) const;
     [[nodiscard]] duration expectedWait(const queue_key &key, const job_record &job) const;
     [[nodiscard]] std::uint64_t queuedWork(const job_record &job) const;
@@ -231,6 +233,7 @@
     [[nodiscard]] bool discovering() const;
     [[nodiscard]] duration measureEventLoopDelay();
     void demoteOrRefuseLateJobs();
+    void finishShutdown();
     void joinJob(job_record &job, caller_request request);
     void enqueue(const job_record &job);
     void dispatch();
--- a/include/bamboohead/error_kind.hpp
+++ b/include/bamboohead/error_kind.hpp
@@ -36,6 +36,7 @@
     cancelled = 304,
     answer_expired = 305,
     session_expired = 306,
+    interrupted = 307, // the entry stopped before the job had ended
     // 4xx: an agent refused a start order before it started the task. With `order_duplicate`,
     // another order may have started it.
     order_stale = 401,
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -214,8 +214,7 @@
         const auto drained = m_member.now() - *m_drainStart;
         const bool drainComplete = m_jobs.empty() && drained >= m_options.limits.minDrainTime;
         if (drainComplete || drained >= m_options.limits.drainTimeout) {
-            m_shutdownReported = true;
-            m_member.push(shutdown_complete{});
+            finishShutdown();
         }
     }
 }
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -160,6 +160,11 @@
         m_member.push(job_reply{request, *job.endState, error_kind::none, {}, {}});
         return;
     }
+    if (m_shutdownReported) {
+        m_member.push(
+                job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
+        return;
+    }
     job.callers.push_back(request);
     m_callers.emplace(request, job.submission.id);
     if (job.ending) {
@@ -189,6 +194,17 @@
             request, batch_job_state::failed, why, std::max(retryAfter, minRetryDelay), {}});
 }
 
+/// Refuses all callers of a job of which no task has started, and ends it.
+void dispatch_entry::refuseJob(job_record &job, error_kind why, duration retryAfter)
+{
+    const auto callers = std::exchange(job.callers, {});
+    for (const auto request : callers) {
+        m_callers.erase(request);
+        refuse(request, job.submission.id, why, retryAfter);
+    }
+    endJob(job, batch_job_state::cancelled, why);
+}
+
 void dispatch_entry::callerDisconnected(caller_request request)
 {
     const auto found = m_callers.find(request);
@@ -288,6 +304,29 @@
     }
 }
 
+/// Ends the open jobs and reports the end of the shutdown. A job of which no task was ordered has
+/// certainly not run.
+void dispatch_entry::finishShutdown()
+{
+    std::vector<batch_job_id> open;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.endState) {
+            open.push_back(id);
+        }
+    }
+    for (const auto id : open) {
+        auto &job = m_jobs.at(id);
+        if (job.started) {
+            endJob(job, batch_job_state::cancelled, error_kind::interrupted);
+        } else {
+            refuseJob(job, error_kind::stopping, minRetryDelay);
+        }
+        removeIfFinished(id);
+    }
+    m_shutdownReported = true;
+    m_member.push(shutdown_complete{});
+}
+
 void dispatch_entry::evictEndedJobs()
 {
     while (!m_endedByTime.empty() &&
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -109,12 +109,7 @@
             m_queue.insert(keyOf(job));
             continue;
         }
-        const auto callers = std::exchange(job.callers, {});
-        for (const auto request : callers) {
-            m_callers.erase(request);
-            refuse(request, id, error_kind::overloaded, wait);
-        }
-        endJob(job, batch_job_state::cancelled, error_kind::overloaded);
+        refuseJob(job, error_kind::overloaded, wait);
         removeIfFinished(id);
     }
 }
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -49,6 +49,8 @@
                    "the job ended and its answer is no longer held"},
         error_info{error_kind::session_expired, "session_expired", 410, mayHaveRun,
                    "the session of this job id has expired; the job is never started from now on"},
+        error_info{error_kind::interrupted, "interrupted", 502, mayHaveRun,
+                   "the entry stopped before the job had ended"},
         error_info{error_kind::order_stale, "order_stale", 503, notRun,
                    "the start order is older than the agent accepts"},
         error_info{error_kind::order_fenced, "order_fenced", 503, notRun,
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -169,3 +169,66 @@
     CHECK(refusedWithTicksOf(20ms) == 0);
     CHECK(refusedWithTicksOf(50ms) == 0);
 }
+
+// Guards against callers whose connection ends without an answer, because their job is still open
+// when the drain limit of a stopping entry is over.
+TEST_CASE("a stopping entry answers all open jobs before it reports the end of its shutdown")
+{
+    manual_clock time;
+    time.advance(10s);
+    auto options = entryOptions();
+    options.limits.discoveryTime = 1h; // jobs wait for an agent
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    time.advance(500ms);
+    std::size_t ordered = 0;
+    SUBCASE("the job runs")
+    {
+        entry.receive(reportOf(agentId, time.now()));
+        entry.tick();
+        ordered = 1;
+    }
+    SUBCASE("the job waits")
+    {}
+    auto job = smallJob(1);
+    job.steps[0].estimate = 60s;
+    entry.submit(caller_request{1}, entry.config().routes.front(), job);
+    (void)entry.takeActions();
+    REQUIRE(entry.counters().runsOrdered == ordered);
+    entry.stop();
+    std::vector<job_reply> replies;
+    bool complete = false;
+    const auto limit = time.now() + 6s;
+    while (!complete && time.now() < limit) {
+        time.advance(20ms);
+        if (ordered > 0) {
+            // The agent still runs the task.
+            auto report = reportOf(agentId, time.now());
+            report.set_stamp_us(toStamp(time.now()));
+            auto &held = *report.mutable_dispatch_report()->add_held();
+            toWire(run_ref{{batch_job_id{1}, 0, 0}, 1}, held);
+            entry.receive(report);
+        }
+        entry.tick();
+        for (const auto &action : entry.takeActions()) {
+            if (const auto *const reply = std::get_if<job_reply>(&action)) {
+                CHECK(!complete);
+                replies.push_back(*reply);
+            }
+            complete = complete || std::holds_alternative<shutdown_complete>(action);
+        }
+    }
+    CHECK(complete);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].request == caller_request{1});
+    CHECK(replies[0].error == (ordered > 0 ? error_kind::interrupted : error_kind::stopping));
+    // The caller repeats its request while the run is being stopped.
+    entry.submit(caller_request{2}, entry.config().routes.front(), job);
+    for (const auto &action : entry.takeActions()) {
+        if (const auto *const reply = std::get_if<job_reply>(&action)) {
+            replies.push_back(*reply);
+        }
+    }
+    REQUIRE(replies.size() == 2);
+    CHECK(replies[1].error == replies[0].error);
+}
