Answer a request that was read behind the last answer of a connection

Callers saw: of two requests that a caller sent on one connection without waiting, a stopping entry answered the first one and closed the connection, although it had read the second one as a whole.

Cause: each answer of a stopping entry closes its connection, whatever the buffer of the connection holds.

An answer now closes the connection only if nothing further has been read on it. A caller that asks for the close itself is not affected.

--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -84,7 +84,9 @@
         }
         const auto connection = found->second;
         connection->stage = request_stage::sending;
-        response.keep_alive(connection->keepAlive && !m_closeAfterResponse);
+        // A further request that has been read is answered before the connection closes.
+        const bool mayClose = m_closeAfterResponse && connection->buffer.size() == 0;
+        response.keep_alive(connection->keepAlive && !mayClose);
         response.version(11);
         response.prepare_payload();
         connection->response = std::move(response);
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -213,6 +213,26 @@
     CHECK(caller.status() == 503);
 }
 
+// Guards against pipelined requests that have been read but are dropped with the connection.
+TEST_CASE_FIXTURE(server_fixture, "a request behind the one that is answered at a stop is answered")
+{
+    answersAtOnce = false;
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest + wholeRequest);
+    run();
+    REQUIRE(waiting.size() == 1);
+    server.closeAfterResponses();
+    respond(waiting[0]);
+    run();
+    REQUIRE(waiting.size() == 2);
+    respond(waiting[1]);
+    run();
+    caller.receive();
+    CHECK(caller.received().find("HTTP/1.1 503", 1) != std::string::npos);
+    CHECK(caller.closed());
+    CHECK(!caller.reset());
+}
+
 // Guards against an exit that resets connections before their callers have read the response.
 TEST_CASE("a stopped server waits until its callers have closed their connections")
 {
