--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -31,7 +31,7 @@
     def session(self, entry):
         """Returns the connection pool of an entry; its connections stay open until the entry closes them."""
         if entry not in self.sessions:
-            connector = aiohttp.TCPConnector(limit=64, keepalive_timeout=600)
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=600)
             self.sessions[entry] = aiohttp.ClientSession(connector=connector)
         return self.sessions[entry]
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,8 @@
     def __init__(self, run):
         self.run = run
         self.random = run.random
-        self.kinds = [self.kill, self.kill_many, self.terminate, self.roll, self.pause, self.hang_up,
+        self.kinds = [self.kill, self.kill_many, self.terminate, self.terminate_slow, self.roll,
+                      self.pause, self.hang_up,
                       self.messages, self.mute, self.store_cut, self.store_down, self.store_slow,
                       self.store_lost, self.store_forgets, self.store_revokes, self.target_crash,
                       self.target_leaves, self.target_slow, self.target_fails, self.target_hangs,
@@ -67,6 +68,19 @@
             self.run.observer.add_violation("STOP", fault)
         await self.restart(process, self.random.uniform(0.05, 1.0))
 
+    # Stops one entry gracefully while it gets a small share of its processor, and restarts it.
+    async def terminate_slow(self, seconds):
+        process = self.random.choice(self.run.fleet.entries)
+        if not process.available():
+            return
+        self.exempt(process, 7.0)
+        slowness = asyncio.create_task(process.slow_down(0.01, self.random.uniform(0.1, 0.3)))
+        fault = await process.stop()
+        slowness.cancel()
+        if fault:
+            self.run.observer.add_violation("STOP", fault)
+        await self.restart(process, 0.05)
+
     # Stops and restarts up to four processes one after the other, as a rolling update does.
     async def roll(self, seconds):
         for process in self.random_subset(self.run.fleet.processes, 4):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -28,6 +28,7 @@
         self.settings_path = fleet.folder / f"{self.name}.json"
         self.child = None
         self.stopping = False  # whether it is being stopped or was killed on purpose; reset by start()
+        self.graceful_stops = []  # (begin, end) of the stops that no other fault interrupted
         self.stop_interrupted = False  # whether another fault paused or killed it while it was stopping
 
     async def open(self):
@@ -66,6 +67,18 @@
         if self.running():
             self.child.send_signal(number)
 
+    async def slow_down(self, run_s, pause_s):
+        """Lets the process run only for `run_s` between two pauses, until this task is cancelled."""
+        child = self.child
+        try:
+            while child.poll() is None:
+                child.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(pause_s)
+                child.send_signal(signal.SIGCONT)
+                await asyncio.sleep(run_s)
+        finally:
+            child.send_signal(signal.SIGCONT)
+
     async def stop(self):
         """Requests a graceful stop.
 
@@ -79,6 +92,8 @@
         while self.running() and time.monotonic() - begin < EXIT_TIMEOUT_S:
             await asyncio.sleep(0.02)
         stop_interrupted = self.stop_interrupted
+        if not stop_interrupted:
+            self.graceful_stops.append((begin, time.monotonic()))
         if self.running():
             await self.kill()
             return None if stop_interrupted else f"{self.name} did not exit within {EXIT_TIMEOUT_S} s"
