Deliver no request of a connection that has been closed

A connection could be closed between the end of a write and its handler. The handler then parsed the next request in the buffer, entered the closed connection into the table again and submitted a job for a caller that was gone; after the destruction of the server it called its former owner.

The handler now ends when the connection is no longer in the table.

Evidence: found in review; both tests fail without the check.

--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -342,6 +342,9 @@
             drop(connection);
             return;
         }
+        if (!m_connections.contains(connection->exchange)) {
+            return; // closed after the response was written
+        }
         if (connection->peerFinished) {
             drop(connection);
             return;
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -284,3 +284,55 @@
     server.closeIdleConnections();
     CHECK(server.connections() == 0);
 }
+
+// Guards against requests that are delivered although their connection was dropped.
+TEST_CASE("a dropped connection delivers no further request")
+{
+    asio::io_context context;
+    async_http_limits limits;
+    limits.maxRequestBodyBytes = 16;
+    limits.maxRequestHeaderBytes = 200;
+    std::vector<http_exchange> waiting;
+    async_http_server server{context, "127.0.0.1:0", limits,
+                             [&](http_exchange exchange, const http_server_request &) {
+                                 waiting.push_back(exchange);
+                             },
+                             [](http_exchange) {}};
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest + wholeRequest);
+    context.run_for(20ms);
+    REQUIRE(waiting.size() == 1);
+    caller.send(std::string(400, 'x'));
+    // The excess is noticed between the end of the write and its handler.
+    asio::post(context, [&] {
+        server.respond(waiting[0], {http::status::service_unavailable, 11});
+    });
+    context.restart();
+    context.poll();
+    CHECK(server.counters().responses == 1);
+    CHECK(waiting.size() == 1);
+    CHECK(server.connections() == 0);
+}
+
+// Guards against requests that are delivered to the owner of a server that was destroyed.
+TEST_CASE("a destroyed server delivers no further request")
+{
+    asio::io_context context;
+    std::vector<http_exchange> waiting;
+    std::optional<async_http_server> server;
+    server.emplace(
+            context, "127.0.0.1:0", async_http_limits{},
+            [&](http_exchange exchange, const http_server_request &) {
+                waiting.push_back(exchange);
+            },
+            [](http_exchange) {});
+    raw_caller caller{context, server->port()};
+    caller.send(wholeRequest + wholeRequest);
+    context.run_for(20ms);
+    REQUIRE(waiting.size() == 1);
+    server->respond(waiting[0], {http::status::service_unavailable, 11});
+    server.reset();
+    context.restart();
+    context.poll();
+    CHECK(waiting.size() == 1);
+}
