Answer a request that has arrived behind the last answer of a connection

Only requests in the buffer were considered when an answer closes its connection; one that was still in the socket was then read and discarded.

Evidence: found in review; the test fails without the change.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -74,7 +74,7 @@
     /// @brief Sends the response to a request; does nothing when its connection is closed.
     void respond(http_exchange exchange, http_server_response response);
     /// @brief Makes each response from now on close its connection, unless a further request on it
-    ///        has been read.
+    ///        has arrived.
     void closeAfterResponses();
     /// @brief Closes the connections on which nothing of a request has arrived for `lingerTimeout`.
     void closeIdleConnections();
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -84,9 +84,10 @@
         }
         const auto connection = found->second;
         connection->stage = request_stage::sending;
-        // A further request that has been read is answered before the connection closes.
-        const bool mayClose = m_closeAfterResponse && connection->buffer.size() == 0;
-        response.keep_alive(connection->keepAlive && !mayClose);
+        // A further request that has arrived is answered before the connection closes.
+        const bool closes =
+                m_closeAfterResponse && connection->buffer.size() == 0 && !connection->readable();
+        response.keep_alive(connection->keepAlive && !closes);
         response.version(11);
         response.prepare_payload();
         connection->response = std::move(response);
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -336,3 +336,23 @@
     context.poll();
     CHECK(waiting.size() == 1);
 }
+
+// Guards against requests that have arrived but were not read when the previous one is answered.
+TEST_CASE_FIXTURE(server_fixture,
+                  "a request that was not read when the previous one is answered is answered")
+{
+    answersAtOnce = false;
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest);
+    run();
+    REQUIRE(waiting.size() == 1);
+    server.closeAfterResponses();
+    caller.send(wholeRequest);
+    respond(waiting[0]);
+    run();
+    REQUIRE(waiting.size() == 2);
+    respond(waiting[1]);
+    run();
+    caller.receive();
+    CHECK(caller.received().find("HTTP/1.1 503", 1) != std::string::npos);
+}
