Answer all requests of a caller that has shut down its sending side

When a caller shut down its sending side while a response was being sent, the requests that it had sent behind it were dropped with the connection.

Evidence: found in review; the test gets one request delivered instead of two without the change.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -53,7 +53,8 @@
 /// @brief HTTP/1.1 server on the thread of an io_context.
 ///
 /// Unlike http_server, which uses one thread per connection, it can hold many unanswered requests,
-/// and reports at once when the peer of one of them has closed its connection.
+/// and reports at once when the peer of one of them has closed its connection. A peer that shuts
+/// down its sending side while its request waits for respond() counts as such a peer.
 class async_http_server
 {
 public:
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -346,11 +346,11 @@
         if (!m_connections.contains(connection->exchange)) {
             return; // closed after the response was written
         }
-        if (connection->peerFinished) {
-            drop(connection);
-            return;
-        }
         if (!connection->response.keep_alive()) {
+            if (connection->peerFinished) {
+                drop(connection);
+                return;
+            }
             // Only the sending side is shut down, and the peer closes the connection after it has
             // read the response. Closing a socket with unread bytes would reset the connection.
             error_code ignored;
@@ -362,6 +362,11 @@
         connection->stage = request_stage::none;
         resetParser(*connection);
         parse(connection);
+        const bool handlesRequest = connection->stage == request_stage::waiting ||
+                                    connection->stage == request_stage::sending;
+        if (connection->peerFinished && !handlesRequest) {
+            drop(connection);
+        }
     }
 
     /// Closes a connection and reports its unanswered request, if any, as disconnected.
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -356,3 +356,24 @@
     caller.receive();
     CHECK(caller.received().find("HTTP/1.1 503", 1) != std::string::npos);
 }
+
+// Guards against pipelined requests that are dropped because the caller has shut down its sending
+// side while the response to the previous request was being sent.
+TEST_CASE_FIXTURE(server_fixture, "a caller that sends no more gets all its responses")
+{
+    responseBytes = 8'000'000;
+    raw_caller caller{context, server.port(), 4'096};
+    caller.send(wholeRequest + wholeRequest);
+    run();
+    REQUIRE(server.counters().requests == 1);
+    REQUIRE(server.counters().responses == 0);
+    caller.finishSending();
+    run();
+    const auto limit = std::chrono::steady_clock::now() + 5s;
+    while (!caller.closed() && std::chrono::steady_clock::now() < limit) {
+        run(5ms);
+        caller.receive();
+    }
+    CHECK(server.counters().requests == 2);
+    CHECK(caller.received().size() > 2 * responseBytes);
+}
