Close a connection although its peer sends after the last answer

Each byte after the last answer started the linger time anew, so that a peer could delay the exit to its limit, and kept the connection open for good otherwise.

--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -263,7 +263,9 @@
             return drop(from);
         }
         from->buffer.commit(bytes);
-        from->lastActive = std::chrono::steady_clock::now();
+        if (from->stage != request_stage::closing) {
+            from->lastActive = std::chrono::steady_clock::now();
+        }
         return parse(from);
     }
 
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -377,3 +377,31 @@
     CHECK(server.counters().requests == 2);
     CHECK(caller.received().size() > 2 * responseBytes);
 }
+
+// Guards against an exit that a peer delays by sending after the last response.
+TEST_CASE("a peer that goes on sending does not delay the end of a stop")
+{
+    asio::io_context context;
+    async_http_limits limits;
+    limits.lingerTimeout = 100ms;
+    std::optional<async_http_server> server;
+    server.emplace(
+            context, "127.0.0.1:0", limits,
+            [&](http_exchange exchange, const http_server_request &) {
+                server->respond(exchange, {http::status::service_unavailable, 11});
+            },
+            [](http_exchange) {});
+    raw_caller caller{context, server->port()};
+    caller.send(wholeRequest);
+    server->finish();
+    bool finished = false;
+    for (int part = 0; part < 50 && !finished; ++part) {
+        context.restart();
+        context.run_for(10ms);
+        caller.send("x");
+        server->finish();
+        finished = server->finished();
+    }
+    REQUIRE(server->counters().responses == 1);
+    CHECK(finished);
+}
