Accept without waiting when a connection is aborted or descriptors run out

By reading of the library: accept() waits for a further connection when the peer has aborted the first one, even if the socket does not block, unless aborted connections are reported. And finish() closed the listening socket over the connections that it could not accept, for example without a free descriptor; it now tries again at the next call.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -28,8 +28,8 @@
     /// A connection without an unanswered request is closed after it made no progress for this
     /// long.
     duration idleTimeout = std::chrono::seconds{60};
-    /// On a stop, a connection that was accepted or sent a response may still deliver a request, or
-    /// the peer may still read the response, for this long.
+    /// How long a stopping server waits for a request on an open connection, and for the peer to
+    /// close its connection after a response.
     duration lingerTimeout = std::chrono::milliseconds{500};
     std::size_t maxConnections = 3'000; ///< further connections are closed at once
 };
@@ -79,9 +79,10 @@
     void closeAfterResponses();
     /// @brief Closes the connections on which nothing of a request has arrived for `lingerTimeout`.
     void closeIdleConnections();
-    /// @brief Stops accepting connections; to be called until finished(). Requests on the open
-    ///        connections are still delivered, including those that were waiting to be accepted,
-    ///        and each response closes its connection. Idle connections are closed.
+    /// @brief Stops accepting connections; to be called repeatedly until finished() returns true.
+    ///        Requests on the open connections are still delivered, including those that were
+    ///        waiting to be accepted, and each response closes its connection. Idle connections are
+    ///        closed.
     void finish();
     /// @brief Whether, after finish(), each request has been answered as a whole and each peer has
     ///        closed its connection or had `lingerTimeout` for reading the response.
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -55,6 +55,8 @@
         , m_acceptRetryTimer{context}
     {
         m_acceptor.non_blocking(true);
+        // Without it, accept() waits for the next connection after one that its peer has aborted.
+        m_acceptor.set_option(asio::socket_base::enable_connection_aborted{true});
     }
 
     void start()
@@ -111,8 +113,7 @@
 
     void finish()
     {
-        if (m_acceptor.is_open()) {
-            acceptAll();
+        if (m_acceptor.is_open() && acceptAll()) {
             error_code ignored;
             m_acceptor.close(ignored);
         }
