Count malformed requests as requests

A malformed request was counted as a response only, so that it hid a request without a response in the sum of the counters.

Evidence: found in review; the test fails without the change.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -40,7 +40,7 @@
 /// `disconnects` and `cutSending` is the number of requests that got no response.
 struct async_http_counters
 {
-    std::uint64_t requests = 0;  ///< complete requests
+    std::uint64_t requests = 0;  ///< complete requests, and malformed ones
     std::uint64_t responses = 0; ///< responses that were passed to the operating system as a whole
     std::uint64_t disconnects = 0; ///< requests whose connection ended before respond()
     /// Connections that the server closed after it had read a part of a request.
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -331,6 +331,7 @@
     {
         const bool exceedsLimit =
                 error == http::error::body_limit || error == http::error::header_limit;
+        ++m_counters.requests;
         from->keepAlive = false;
         from->parser.reset();
         from->stage = request_stage::waiting;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -90,8 +90,8 @@
 };
 
 constexpr std::array callerRows{
-        caller_row{"bamboohead_caller_requests_total", "Complete requests of callers.",
-                   &async_http_counters::requests},
+        caller_row{"bamboohead_caller_requests_total",
+                   "Requests of callers, complete or malformed.", &async_http_counters::requests},
         caller_row{"bamboohead_caller_responses_total", "Responses sent as a whole.",
                    &async_http_counters::responses},
         caller_row{"bamboohead_caller_disconnects_total",
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -405,3 +405,15 @@
     REQUIRE(server->counters().responses == 1);
     CHECK(finished);
 }
+
+// Guards against counters that do not add up after malformed requests.
+TEST_CASE_FIXTURE(server_fixture, "a rejected request does not hide an unanswered one")
+{
+    raw_caller caller{context, server.port()};
+    caller.send("nonsense\r\n\r\n");
+    run();
+    caller.receive();
+    REQUIRE(caller.status() == 400);
+    const auto &counters = server.counters();
+    CHECK(counters.requests == counters.responses + counters.disconnects + counters.cutSending);
+}
