Exit only after the answers of the open jobs could be sent

An entry whose ticks came 250 ms late around its drain limit reached its exit limit in the pass that answered the open jobs: the process ended before the answers were written and before the waiting connections were accepted.

The exit limit now counts only in a later tick than the one in which the server began to finish, and the drain limit is 5.25 s, so that a caller has 500 ms for reading its answer before the exit limit of 5.75 s.

Evidence: found in review; the test fails with the old condition.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -48,8 +48,9 @@
     /// Shortest drain, in which jobs are still accepted: the load balancer stops sending jobs only
     /// after two failed checks, one second apart.
     duration minDrainTime = std::chrono::milliseconds{2'500};
-    /// Longest drain: the platform kills a process 6 s after it has asked it to stop.
-    duration drainTimeout = std::chrono::milliseconds{5'500};
+    /// Longest drain: the platform kills a process 6 s after it has asked it to stop, and the
+    /// answers of the open jobs have to be sent before.
+    duration drainTimeout = std::chrono::milliseconds{5'250};
     /// Time after which a stopping entry exits although not all callers have read their responses;
     /// shorter than the 6 s after which the platform kills it.
     duration exitTimeout = std::chrono::milliseconds{5'750};
@@ -153,7 +154,8 @@
     [[nodiscard]] bool refusesJobs() const;
     /// @brief Whether `shutdown_complete` was emitted.
     [[nodiscard]] bool shutdownComplete() const noexcept { return m_shutdownReported; }
-    /// @brief Whether `exitTimeout` has passed since the shutdown started.
+    /// @brief Whether `exitTimeout` has passed since the shutdown started, and the answers of the
+    ///        open jobs were emitted in an earlier tick.
     [[nodiscard]] bool exitDue() const;
     [[nodiscard]] const dispatch_entry_counters &counters() const noexcept { return m_counters; }
     /// @brief Current state as JSON, for operators.
@@ -285,6 +287,7 @@
     bool m_dispatchDue = false; ///< tasks may have become placeable since the last dispatch pass
     std::optional<time_point> m_drainStart;
     bool m_shutdownReported = false;
+    time_point m_shutdownCompleted; ///< when `shutdown_complete` was emitted
     dispatch_entry_counters m_counters;
 };
 
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -185,16 +185,20 @@
         }
     });
     loop.onStop([&] { callers.closeAfterResponses(); });
+    bool finishing = false;
+    bool exitDue = false;
     loop.onTick([&] {
         if (core.shutdownComplete()) {
+            // Handlers have to run between finish() and the exit.
+            exitDue = exitDue || (finishing && core.exitDue());
             callers.finish();
+            finishing = true;
         } else if (core.refusesJobs()) {
-            // The callers then open a connection to another entry. Those that still arrive here
-            // are refused.
+            // Their callers connect to another entry; a job that still arrives here is refused.
             callers.closeIdleConnections();
         }
     });
-    loop.setExitCondition([&] { return callers.finished() || core.exitDue(); });
+    loop.setExitCondition([&] { return callers.finished() || exitDue; });
     logStart(options.self, settings.http);
     loop.onHousekeeping([&] { loop.metrics().update(callers.counters()); });
     loop.run();
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -42,7 +42,8 @@
 
 bool dispatch_entry::exitDue() const
 {
-    return m_drainStart && m_member.now() - *m_drainStart >= m_options.limits.exitTimeout;
+    return m_shutdownReported && m_member.now() > m_shutdownCompleted &&
+           m_member.now() - *m_drainStart >= m_options.limits.exitTimeout;
 }
 
 void dispatch_entry::setObjective(job_record &job) const
@@ -324,6 +325,7 @@
         removeIfFinished(id);
     }
     m_shutdownReported = true;
+    m_shutdownCompleted = m_member.now();
     m_member.push(shutdown_complete{});
 }
 
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -232,3 +232,26 @@
     REQUIRE(replies.size() == 2);
     CHECK(replies[1].error == replies[0].error);
 }
+
+// Guards against an exit in the pass that answers the open jobs, before finish() of the server.
+TEST_CASE("an entry with late ticks does not exit in the pass in which its shutdown is complete")
+{
+    manual_clock time;
+    time.advance(10s);
+    auto options = entryOptions();
+    options.limits.discoveryTime = 1h; // jobs wait for an agent
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    auto job = smallJob(1);
+    job.steps[0].estimate = 60s;
+    entry.submit(caller_request{1}, entry.config().routes.front(), job);
+    entry.stop();
+    time.advance(options.limits.drainTimeout - 50ms);
+    entry.tick();
+    (void)entry.takeActions();
+    REQUIRE(!entry.shutdownComplete());
+    time.advance(options.limits.exitTimeout - options.limits.drainTimeout + 60ms);
+    entry.tick();
+    REQUIRE(entry.shutdownComplete());
+    CHECK(!entry.exitDue());
+}
