Never report an interrupted job as not run

A caller that repeated the request of an interrupted job after its runs had ended was refused as stopping, which means that the job has not run. The entry now keeps the ids of these jobs until it exits.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -287,6 +287,8 @@
     bool m_dispatchDue = false; ///< tasks may have become placeable since the last dispatch pass
     std::optional<time_point> m_drainStart;
     bool m_shutdownReported = false;
+    std::set<batch_job_id>
+            m_interrupted;          ///< jobs that may have run and were open at the drain limit
     time_point m_shutdownCompleted; ///< when `shutdown_complete` was emitted
     dispatch_entry_counters m_counters;
 };
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -102,6 +102,11 @@
         m_member.push(job_reply{request, ended->second, error_kind::none, {}, {}});
         return;
     }
+    if (m_interrupted.contains(id)) {
+        m_member.push(
+                job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
+        return;
+    }
     if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
         m_member.log("job_repeated",
                      {{"job", toText(id)}, {"state", known->second.ending ? "ending" : "open"}});
@@ -318,6 +323,7 @@
     for (const auto id : open) {
         auto &job = m_jobs.at(id);
         if (job.started) {
+            m_interrupted.insert(id);
             endJob(job, batch_job_state::cancelled, error_kind::interrupted);
         } else {
             refuseJob(job, error_kind::stopping, minRetryDelay);
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -222,7 +222,20 @@
     REQUIRE(replies.size() == 1);
     CHECK(replies[0].request == caller_request{1});
     CHECK(replies[0].error == (ordered > 0 ? error_kind::interrupted : error_kind::stopping));
-    // The caller repeats its request while the run is being stopped.
+    SUBCASE("the caller repeats its request while the run is being stopped")
+    {}
+    SUBCASE("the caller repeats its request after the run has ended")
+    {
+        time.advance(50ms);
+        auto report = reportOf(agentId, time.now());
+        report.set_stamp_us(toStamp(time.now()));
+        auto &end = *report.mutable_dispatch_report()->add_ends();
+        end.set_number(1);
+        toWire(run_ref{{batch_job_id{1}, 0, 0}, 1}, *end.mutable_run());
+        end.set_outcome(wire::RUN_OUTCOME_STOPPED);
+        entry.receive(report);
+        entry.tick();
+    }
     entry.submit(caller_request{2}, entry.config().routes.front(), job);
     for (const auto &action : entry.takeActions()) {
         if (const auto *const reply = std::get_if<job_reply>(&action)) {
