Refuse requests on connections over the limit instead of resetting them

A connection over the limit was closed at once. If its request had already arrived, the connection was reset, and the caller could not tell whether the request had run. Up to 300 connections over the limit are now answered with 503 and Retry-After without reading their requests. Connections whose last response was sent are closed after the linger timeout, so that they do not use the limit up.

Evidence: found in review; the test fails without the change.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -28,10 +28,11 @@
     /// A connection without an unanswered request is closed after it made no progress for this
     /// long.
     duration idleTimeout = std::chrono::seconds{60};
-    /// How long a stopping server waits for a request on an open connection, and for the peer to
-    /// close its connection after a response.
+    /// How long a stopping server waits for a request on an open connection, and any server for the
+    /// peer to close its connection after the last response.
     duration lingerTimeout = std::chrono::milliseconds{500};
-    std::size_t maxConnections = 3'000; ///< further connections are closed at once
+    /// Requests on further connections are answered 503 without being delivered.
+    std::size_t maxConnections = 3'000;
 };
 
 /// @brief Monotonic counters of an async_http_server.
@@ -47,7 +48,7 @@
     std::uint64_t cutReceiving = 0;
     /// Responses whose connection ended before they were passed to the operating system as a whole.
     std::uint64_t cutSending = 0;
-    std::uint64_t overLimit = 0; ///< connections closed at `maxConnections`
+    std::uint64_t overLimit = 0; ///< connections closed far above `maxConnections`
 };
 
 /// @brief HTTP/1.1 server on the thread of an io_context.
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr auto idleCheckInterval = std::chrono::seconds{1};
+/// Connections over the limit that are answered with 503 at a time; further ones are closed.
+constexpr std::size_t refusingConnections = 300;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50}; ///< after a failed accept
 
 /// Stage of the request that a connection handles.
@@ -205,13 +207,13 @@
             if (error) {
                 return false;
             }
-            accepted(std::move(socket));
+            addConnection(std::move(socket));
         }
     }
 
-    void accepted(tcp::socket socket)
+    void addConnection(tcp::socket socket)
     {
-        if (m_connections.size() >= m_limits.maxConnections) {
+        if (m_connections.size() >= m_limits.maxConnections + refusingConnections) {
             ++m_counters.overLimit;
             return; // closes the socket
         }
@@ -223,6 +225,11 @@
         m_connections.emplace(added->exchange, added);
         resetParser(*added);
         awaitBytes(added);
+        if (m_connections.size() > m_limits.maxConnections) {
+            http_server_response response{http::status::service_unavailable, 11};
+            response.set(http::field::retry_after, "1");
+            reject(added, std::move(response));
+        }
     }
 
     void resetParser(http_connection &connection) const
@@ -294,7 +301,7 @@
                 return true;
             }
             if (error) {
-                reject(from, error);
+                rejectMalformed(from, error);
                 return true;
             }
             if (used == 0) {
@@ -327,17 +334,22 @@
         m_connections.emplace(connection->exchange, connection);
     }
 
-    void reject(const connection_ptr &from, error_code error)
+    void rejectMalformed(const connection_ptr &from, error_code error)
     {
         const bool exceedsLimit =
                 error == http::error::body_limit || error == http::error::header_limit;
+        reject(from,
+               {exceedsLimit ? http::status::payload_too_large : http::status::bad_request, 11});
+    }
+
+    /// Responds without delivering the request, and closes the connection.
+    void reject(const connection_ptr &from, http_server_response response)
+    {
         ++m_counters.requests;
         from->keepAlive = false;
         from->parser.reset();
         from->stage = request_stage::waiting;
-        respond(from->exchange, http_server_response{exceedsLimit ? http::status::payload_too_large
-                                                                  : http::status::bad_request,
-                                                     11});
+        respond(from->exchange, std::move(response));
     }
 
     void handleWritten(const connection_ptr &connection, error_code error)
@@ -389,7 +401,7 @@
     }
 
     /// At each idleCheckInterval, closes the connections without an unanswered request that made no
-    /// progress for longer than the idle timeout.
+    /// progress for longer than the idle timeout, or the linger timeout after the last response.
     void scheduleIdleCheck()
     {
         m_idleCheckTimer.expires_after(idleCheckInterval);
@@ -397,9 +409,13 @@
             if (error || self->m_stopped) {
                 return;
             }
-            const auto since = std::chrono::steady_clock::now() - self->m_limits.idleTimeout;
-            self->closeWhere([since](const http_connection &connection) {
-                return connection.stage != request_stage::waiting && connection.lastActive < since;
+            const auto now = std::chrono::steady_clock::now();
+            const auto &limits = self->m_limits;
+            self->closeWhere([now, &limits](const http_connection &connection) {
+                const auto limit = connection.stage == request_stage::closing ? limits.lingerTimeout
+                                                                              : limits.idleTimeout;
+                return connection.stage != request_stage::waiting &&
+                       connection.lastActive < now - limit;
             });
             self->scheduleIdleCheck();
         });
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -417,3 +417,27 @@
     const auto &counters = server.counters();
     CHECK(counters.requests == counters.responses + counters.disconnects + counters.cutSending);
 }
+
+// Guards against callers that get a reset at the connection limit.
+TEST_CASE("a request on a connection over the limit is answered")
+{
+    asio::io_context context;
+    async_http_limits limits;
+    limits.maxConnections = 1;
+    std::optional<async_http_server> server;
+    server.emplace(
+            context, "127.0.0.1:0", limits,
+            [&](http_exchange exchange, const http_server_request &) {
+                server->respond(exchange, {http::status::service_unavailable, 11});
+            },
+            [](http_exchange) {});
+    std::optional<raw_caller> first;
+    first.emplace(context, server->port());
+    raw_caller second{context, server->port()};
+    second.send(wholeRequest);
+    context.run_for(50ms);
+    first.reset();
+    context.run_for(100ms);
+    second.receive();
+    CHECK(second.status() == 503);
+}
