Draw the random numbers of the schedules in a fixed order

Cause: callers::requestSession() and callers::cancel() drew the entry and the delay of a request in two arguments of one call. A job of dispatch_schedule_test.cpp (tasks, run time) and a report of placement_test.cpp were drawn in the same way.

They are now drawn in separate statements, the last argument first. For the other two tests, no earlier figures were at hand; the same order is used there.

--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -92,8 +92,10 @@
     const auto longestMs = options.seed % 4 == 0 ? 3'500U : 1'200U;
     for (unsigned number = 0; number < 120; ++number) {
         fleet.at(start + std::chrono::milliseconds{fleet.random(20'000)}, [&fleet, longestMs] {
-            fleet.submit(1 + fleet.random(8),
-                         std::chrono::milliseconds{40 + fleet.random(longestMs)});
+            // Drawn in separate statements: the order of evaluation of arguments is unspecified.
+            const std::chrono::milliseconds length{40 + fleet.random(longestMs)};
+            const auto tasks = 1 + fleet.random(8);
+            fleet.submit(tasks, length);
         });
     }
     const auto faultCount = 3 + fleet.random(8);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -158,7 +158,10 @@
     for (int step = 0; step < 5000; ++step) {
         const auto id = agent(1 + below(20));
         if (below(3) == 0) {
-            auto state = load(8, below(8), expectedLoads[id].issuedTotal + below(3));
+            // Drawn in separate statements: the order of evaluation of arguments is unspecified.
+            const auto issued = expectedLoads[id].issuedTotal + below(3);
+            const auto running = below(8);
+            auto state = load(8, running, issued);
             state.leaving = below(5) == 0;
             expectedLoads[id] = state;
             account.report(id, state);
--- a/tests/schedule/callers.cpp
+++ b/tests/schedule/callers.cpp
@@ -78,8 +78,10 @@
     }
     ++subject.attempts;
     const auto request = addRequest(index);
-    m_network.input(randomEntry(), requestDelay(),
-                    [request](process &entry) { entry.entry->openSession(request); });
+    // Drawn in separate statements: the order of evaluation of arguments is unspecified.
+    const auto delay = requestDelay();
+    const auto entry = randomEntry();
+    m_network.input(entry, delay, [request](process &to) { to.entry->openSession(request); });
     m_network.after(answerTimeout, [this, index] { requestSession(index); });
 }
 
@@ -136,10 +138,11 @@
 void callers::cancel(std::size_t index)
 {
     const auto request = addRequest(index);
-    m_network.input(randomEntry(), requestDelay(),
-                    [request, id = m_callers[index].job->id](process &entry) {
-                        entry.entry->cancel(request, id);
-                    });
+    const auto delay = requestDelay();
+    const auto entry = randomEntry();
+    m_network.input(entry, delay, [request, id = m_callers[index].job->id](process &to) {
+        to.entry->cancel(request, id);
+    });
 }
 
 void callers::answered(const answer_caller &answer)
