--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -55,6 +55,8 @@
     std::uint64_t endsSeen = 0;   ///< number of the newest run end that was processed; 0: none
     /// `endsSeen` in the newest message to the agent.
     std::uint64_t endsAcknowledged = 0;
+    /// Highest number of a crash of the agent's target that was received; 0: none.
+    std::uint64_t crashesSeen = 0;
     /// Epoch of `ordersSent`. A view that is created again after its removal has a higher epoch.
     std::uint64_t epoch = 0;
     std::uint64_t peerEpoch = 0;  ///< epoch of `endsSeen`, assigned by the agent
--- a/include/bamboohead/dispatch/batch_job.hpp
+++ b/include/bamboohead/dispatch/batch_job.hpp
@@ -54,6 +54,7 @@
     std::uint32_t run = 0;            ///< number of the newest run; 0: none yet
     std::uint32_t failures = 0;       ///< runs that ended as failed
     std::uint32_t noRoomRefusals = 0; ///< runs that an agent refused for lack of free capacity
+    bool deferred = false;            ///< waits until a crash is known or excluded
     /// Agent of the newest run that did not complete the task; `none`: no such run.
     incarnation_id avoidedAgent = incarnation_id::none;
 };
--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -76,6 +76,7 @@
     /// Ordered runs that the agent or the target refused, that the agent dropped from its queue
     /// when its shutdown started, or whose start call was not executed and is not repeated.
     std::uint64_t refused = 0;
+    std::uint64_t crashes = 0; ///< crashes of the target while it was running tasks
 };
 
 /// @brief Scheduling logic of an agent that runs tasks within its target's resources. Performs no
@@ -142,6 +143,7 @@
         time_point lastFullReport;     ///< default value: a full report is due
         time_point lastReport;         ///< time of the newest report of any kind
         std::uint64_t reportedCpu = 0; ///< CPU demand of the running tasks in the newest report
+        std::uint64_t crashesSeen = 0; ///< highest number of a crash that the entry has received
     };
 
     /// Priority and arrival number of a queued run. Runs with lower keys start first.
@@ -158,6 +160,15 @@
         time_point expires; ///< the run is stopped at this time
         bool queued = true;
         bool stopping = false;
+        bool suspect = false; ///< started only while no other suspect is running
+    };
+
+    /// A task under which the target has crashed.
+    struct crash_record
+    {
+        batch_task task;
+        std::uint64_t crash = 0; ///< number of the crash, see dispatch_agent_counters::crashes
+        time_point known;        ///< when the crash became known
     };
 
     void handleOrdersMessage(incarnation_id sender, const wire::DispatchOrders &message,
@@ -180,8 +191,11 @@
     /// whose time limit has passed.
     void stopRunsOfSilentEntriesAndExpiredRuns();
     void takeSessionResults();
+    void recordCrash(const std::vector<batch_task> &tasks);
+    [[nodiscard]] bool suspectRunning() const;
     void handleRunEnd(const run_outcome &end);
-    void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime);
+    void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
+                bool crashPossible = false);
     void count(wire::RunOutcome outcome, duration runTime);
     entry_state &findOrAddEntry(incarnation_id entry);
     void sendReports();
@@ -201,6 +215,7 @@
     std::uint64_t m_lastEpoch = 0;               ///< newest epoch given to an entry_state
     dispatch_agent_counters m_counters;
     std::vector<duration> m_runTimes;
+    std::deque<crash_record> m_crashed; ///< oldest first
     bool m_lastLoggedReady = false;
     std::optional<time_point> m_stopSince; ///< start of the graceful shutdown, if any
     bool m_shutdownReported = false;
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/dispatch/agent_pool.hpp"
 #include "bamboohead/dispatch/batch_job.hpp"
+#include "bamboohead/dispatch/crash_ledger.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
 
 #include <boost/json/value.hpp>
@@ -94,6 +95,7 @@
     /// Runs that the agent reported as lost, runs that it does not hold although it has handled the
     /// order message, and runs of agents that were silent for too long or were replaced.
     std::uint64_t runsLost = 0;
+    std::uint64_t tasksGivenUp = 0; ///< because targets have crashed under several of their runs
 };
 
 /// @brief Scheduling logic of an entry: a process that accepts jobs from callers and assigns their
@@ -196,6 +198,7 @@
         std::uint32_t step = 0;
         std::uint32_t index = 0;
         bool immediate = false;
+        bool suspect = false; ///< see crash_ledger
     };
 
     struct ended_job
@@ -219,6 +222,11 @@
     void sendStop(agent_view &agent, const run_ref &ref, outstanding_run &run);
     void handleTaskDone(job_record &job, const run_ref &ref);
     void handleTaskFailure(job_record &job, const run_ref &ref, incarnation_id agent);
+    void handleCrashes(agent_view &agent, const wire::DispatchReport &report);
+    [[nodiscard]] bool taskDone(const batch_task &task) const;
+    void giveUp(const batch_task &task);
+    void deferTask(const batch_task &task, time_point until);
+    void releaseDeferredTasks();
     void requeueTask(job_record &job, const batch_task &task, incarnation_id avoidedAgent);
     void markPredecessorRunsLost(const agent_view &successor, time_point echo);
     void removeSilentAgents();
@@ -243,6 +251,7 @@
     void addOrder(agent_view &agent, job_record &job, const task_order &order);
     void stopRuns(const job_record &job);
     void endJob(job_record &job, batch_job_state state, error_kind error);
+    void keepResult(batch_job_id id, batch_job_state state);
     void expireJobs();
     void removeIfFinished(batch_job_id id);
     void evictEndedJobs();
@@ -267,6 +276,8 @@
     std::set<std::pair<time_point, batch_job_id>> m_expiries;
     std::unordered_map<batch_job_id, batch_job_state> m_ended;
     std::deque<ended_job> m_endedByTime; ///< jobs of `m_ended`, oldest end first
+    crash_ledger m_crashes;
+    std::multimap<time_point, batch_task> m_deferred;              ///< by the end of the delay
     std::map<incarnation_id, wire::DispatchOrders> m_unsentOrders; ///< orders and stops, by agent
     struct sync_times
     {
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -62,6 +62,9 @@
     enum class kind : std::uint8_t { done, failed, stopped, lost, not_started } result = kind::lost;
     start_refusal refusal = start_refusal::none; ///< set for `not_started`
     duration runTime{};                          ///< since the start call was made
+    /// Set for `lost`: the target may have crashed, since it has not responded until the lease had
+    /// expired, or a new lifetime of it has begun.
+    bool crashPossible = false;
 };
 
 /// @brief Name of a log event with its fields.
@@ -109,7 +112,9 @@
     ///
     /// Precondition: a report of the target has arrived, see target().
     /// @param ref Must not be in the session.
-    void start(const run_ref &ref, const std::string &spec, const resources &demand);
+    /// @param suspect Whether targets have crashed, or may have, under earlier runs of the task.
+    void start(const run_ref &ref, const std::string &spec, const resources &demand,
+               bool suspect = false);
     /// @brief Stops a run; repeated until the target reports its end. Unknown runs are ignored.
     void stop(const run_ref &ref);
     /// @brief Whether any run of the task is in the session.
@@ -133,6 +138,17 @@
     [[nodiscard]] std::vector<run_outcome> takeOutcomes() { return std::exchange(m_outcomes, {}); }
     [[nodiscard]] std::vector<session_event> takeEvents() { return std::exchange(m_events, {}); }
     /// @}
+    /// @brief Removes and returns the crashes of the target that have become known: for each, the
+    ///        tasks that the target was running. If a suspect was among them, only the suspects and
+    ///        the tasks that were not started before the last of them: it was started beside the
+    ///        others while they had not crashed the target.
+    ///
+    /// Only a new lifetime proves a crash, as a target that does not respond may be cut off. A
+    /// target that was draining or had announced its shutdown has not crashed.
+    [[nodiscard]] std::vector<std::vector<batch_task>> takeCrashes()
+    {
+        return std::exchange(m_crashes, {});
+    }
 
 private:
     /// `unresolved`: it is unknown whether the run has started, until a listing shows it or a
@@ -152,6 +168,14 @@
         bool stopping = false;
         time_point stopSent;              ///< when the newest stop call was made
         bool fromEarlierLifetime = false; ///< started before the current lifetime was known
+        bool suspect = false;             ///< see start()
+    };
+
+    /// A run that the target was executing when it stopped responding or crashed.
+    struct interrupted_run
+    {
+        bool suspect = false;
+        time_point started;
     };
 
     enum class call_kind : std::uint8_t { start, stop, list };
@@ -181,7 +205,8 @@
     [[nodiscard]] bool foreign(const run_ref &ref) const;
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
-             start_refusal refusal = start_refusal::none);
+             start_refusal refusal = start_refusal::none, bool crashPossible = false);
+    void reportCrash();
     void recordClock(std::int64_t clockMs);
     [[nodiscard]] std::int64_t targetClock() const;
     [[nodiscard]] bool leaseCertainlyExpired() const;
@@ -215,6 +240,13 @@
     time_point m_nextList;                   ///< earliest time of the next list call
     time_point m_unhealthyUntil;
     std::uint32_t m_listFailures = 0; ///< consecutive failed list calls
+    /// Runs that were lost because their lease has expired, while the same lifetime has not
+    /// responded again.
+    std::map<run_ref, interrupted_run> m_lapsed;
+    /// Runs of the crashed lifetime, until the first listing of the next one. A run that this
+    /// listing contains has been started by the next lifetime.
+    std::map<run_ref, interrupted_run> m_crashed;
+    std::vector<std::vector<batch_task>> m_crashes;
     std::vector<target_call> m_calls;
     std::vector<run_outcome> m_outcomes;
     std::vector<session_event> m_events;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -114,7 +114,7 @@
         dispatch_entry_row{"bamboohead_dispatch_jobs_succeeded_total",
                            "Jobs whose tasks all succeeded.", &dispatch_entry_counters::succeeded},
         dispatch_entry_row{"bamboohead_dispatch_jobs_failed_total",
-                           "Jobs that failed because a task used up its attempts.",
+                           "Jobs that failed because a task used up its attempts or was given up.",
                            &dispatch_entry_counters::failed},
         dispatch_entry_row{"bamboohead_dispatch_jobs_refused_total",
                            "Jobs refused before any task started.",
@@ -133,6 +133,9 @@
         dispatch_entry_row{"bamboohead_dispatch_runs_lost_total",
                            "Runs that ended without a reported result.",
                            &dispatch_entry_counters::runsLost},
+        dispatch_entry_row{"bamboohead_dispatch_tasks_given_up_total",
+                           "Tasks given up because targets crashed under their runs.",
+                           &dispatch_entry_counters::tasksGivenUp},
 };
 
 constexpr std::array dispatchAgentRows{
@@ -146,6 +149,9 @@
         dispatch_agent_row{"bamboohead_dispatch_orders_refused_total",
                            "Run orders refused before the run started.",
                            &dispatch_agent_counters::refused},
+        dispatch_agent_row{"bamboohead_dispatch_target_crashes_total",
+                           "Crashes of the target while it was running tasks.",
+                           &dispatch_agent_counters::crashes},
 };
 
 /// Prometheus counters of one counter structure. They are created by the first update, so a process
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -17,6 +17,9 @@
 /// echoed a stamp of this age or newer does not count as connected. Entries that do not use this
 /// agent send a message each dispatch_entry_limits::standbyHeartbeatInterval.
 constexpr duration entryTimeout = std::chrono::seconds{7};
+/// Time for which the crashes of the target are reported to entries; as long as entries keep them.
+constexpr duration crashRetention = std::chrono::seconds{60};
+constexpr std::size_t maxCrashRecords = 64;
 
 } // namespace
 
@@ -49,6 +52,7 @@
         entry.peerEpoch = message.epoch();
         entry.ordersHandled = 0;
     }
+    entry.crashesSeen = message.crashes_seen();
     const auto acked = message.peer_epoch() == entry.epoch ? message.ends_seen() : 0;
     while (!entry.unacked.empty() && entry.unacked.front().number() <= acked) {
         entry.unacked.pop_front();
@@ -122,6 +126,10 @@
     if (first != m_runs.end() && first->first.task == ref.task) {
         return error_kind::order_duplicate;
     }
+    if (order.suspect() && order.immediate() &&
+        std::ranges::any_of(m_runs, [](const auto &run) { return run.second.suspect; })) {
+        return error_kind::no_room;
+    }
     const auto demand = fromWire(order.demand());
     auto room = m_session.target()->capacity;
     if (!demand.fitsIn(room)) {
@@ -170,6 +178,7 @@
         return;
     }
     run.spec = order.spec();
+    run.suspect = order.suspect();
     run.key = {order.priority(), ++m_lastQueueNumber};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
     enqueue(ref, run);
@@ -215,13 +224,19 @@
     }
     auto room = m_session.target()->capacity - m_session.committed();
     std::vector<std::pair<queue_key, run_ref>> started;
+    // With two suspects, a crash would not show which of them has caused it.
+    bool suspectStarted = suspectRunning();
     for (const auto &[key, ref] : m_queue) {
         auto &run = m_runs.at(ref);
+        if (run.suspect && suspectStarted) {
+            continue;
+        }
         // Smaller runs may not start before the first one, or a large run could wait forever.
         if (!run.demand.fitsIn(room)) {
             break;
         }
         room -= run.demand;
+        suspectStarted = suspectStarted || run.suspect;
         started.emplace_back(key, ref);
     }
     for (const auto &[key, ref] : started) {
@@ -229,7 +244,7 @@
         run.queued = false;
         dequeue(run);
         ++m_counters.started;
-        m_session.start(ref, run.spec, run.demand);
+        m_session.start(ref, run.spec, run.demand, run.suspect);
         // `config` is the store's revision here, and the operators' version in an entry's
         // `job_accepted`.
         m_member.log("run_started",
@@ -237,6 +252,7 @@
                       {"entry", toText(run.entry)},
                       {"running_cpu", std::to_string(m_session.committed().cpuMillis)},
                       {"queued", std::to_string(m_queue.size())},
+                      {"suspect", run.suspect ? "true" : "false"},
                       {"config", std::to_string(m_member.config().revision)}});
     }
 }
@@ -279,6 +295,29 @@
     for (const auto &end : m_session.takeOutcomes()) {
         handleRunEnd(end);
     }
+    for (const auto &tasks : m_session.takeCrashes()) {
+        recordCrash(tasks);
+    }
+}
+
+void dispatch_agent::recordCrash(const std::vector<batch_task> &tasks)
+{
+    ++m_counters.crashes;
+    for (const auto &task : tasks) {
+        m_crashed.push_back({task, m_counters.crashes, m_member.now()});
+        if (m_crashed.size() > maxCrashRecords) {
+            m_crashed.pop_front();
+        }
+    }
+    for (auto &[incarnation, entry] : m_entries) {
+        entry.lastFullReport = {};
+    }
+}
+
+bool dispatch_agent::suspectRunning() const
+{
+    return std::ranges::any_of(
+            m_runs, [](const auto &run) { return run.second.suspect && !run.second.queued; });
 }
 
 void dispatch_agent::handleRunEnd(const run_outcome &end)
@@ -298,7 +337,7 @@
         endRun(end.ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, end.runTime);
         break;
     case run_outcome::kind::lost:
-        endRun(end.ref, wire::RUN_OUTCOME_LOST, error_kind::none, end.runTime);
+        endRun(end.ref, wire::RUN_OUTCOME_LOST, error_kind::none, end.runTime, end.crashPossible);
         break;
     case run_outcome::kind::not_started: {
         auto &run = found->second;
@@ -317,7 +356,7 @@
 }
 
 void dispatch_agent::endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error,
-                            duration runTime)
+                            duration runTime, bool crashPossible)
 {
     const auto found = m_runs.find(ref);
     const auto &run = found->second;
@@ -332,6 +371,7 @@
     end.set_outcome(outcome);
     end.set_error(toWire(error));
     end.set_run_ms(toMilliseconds(runTime));
+    end.set_crash_possible(crashPossible);
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
@@ -387,6 +427,9 @@
     std::erase_if(m_entries, [&](const auto &entry) {
         return m_member.links().find(entry.first) == nullptr && !hasRunsOf(entry.first);
     });
+    while (!m_crashed.empty() && m_member.now() - m_crashed.front().known >= crashRetention) {
+        m_crashed.pop_front();
+    }
     if (m_session.ready() != m_lastLoggedReady) {
         m_lastLoggedReady = m_session.ready();
         m_member.log("target_ready", {{"ready", m_lastLoggedReady ? "true" : "false"}});
@@ -505,6 +548,15 @@
                 report.add_running_ms(toMilliseconds(m_session.runningTime(ref)));
             }
         }
+        for (const auto &record : m_crashed) {
+            if (record.crash > state.crashesSeen) {
+                auto &crashed = *report.add_crashed();
+                crashed.set_job(static_cast<std::uint64_t>(record.task.job));
+                crashed.set_step(record.task.step);
+                crashed.set_index(record.task.index);
+                crashed.set_crash(record.crash);
+            }
+        }
     }
     state.lastReport = m_member.now();
     state.reportedCpu = m_session.committed().cpuMillis;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -91,6 +91,7 @@
             handleRunEnd(agent, end);
         }
     }
+    handleCrashes(agent, report);
     if (report.reconcile() && report.peer_epoch() == agent.epoch) {
         reconcile(agent, report);
     }
@@ -200,6 +201,8 @@
     m_member.tick();
     expireJobs();
     removeSilentAgents();
+    m_crashes.removeExpired(m_member.now());
+    releaseDeferredTasks();
     m_pool.updateWorkingSets();
     if (std::ranges::any_of(m_pool.agents(),
                             [&](const auto &agent) { return m_pool.usable(agent.second); })) {
@@ -316,6 +319,7 @@
         }
         message.set_ends_seen(agent.endsSeen);
         agent.endsAcknowledged = agent.endsSeen;
+        message.set_crashes_seen(agent.crashesSeen);
         if (!m_pool.inWorkingSet(agent)) {
             message.set_idle_report_ms(toMilliseconds(m_options.limits.standbyHeartbeatInterval));
         }
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -107,7 +107,15 @@
                 job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
         return;
     }
-    if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
+    const auto known = m_jobs.find(id);
+    if ((known == m_jobs.end() || known->second.ending) && m_crashes.givenUp(id)) {
+        m_member.log("job_repeated", {{"job", toText(id)}, {"state", "given_up"}});
+        ++m_counters.failed;
+        keepResult(id, batch_job_state::failed);
+        m_member.push(job_reply{request, batch_job_state::failed, error_kind::none, {}, {}});
+        return;
+    }
+    if (known != m_jobs.end()) {
         m_member.log("job_repeated",
                      {{"job", toText(id)}, {"state", known->second.ending ? "ending" : "open"}});
         joinJob(known->second, request);
@@ -271,11 +279,16 @@
     job.callers.clear();
     stopRuns(job);
     if (state != batch_job_state::cancelled) {
-        m_ended.emplace(id, state);
-        m_endedByTime.push_back({id, m_member.now()});
+        keepResult(id, state);
     }
 }
 
+void dispatch_entry::keepResult(batch_job_id id, batch_job_state state)
+{
+    m_ended.emplace(id, state);
+    m_endedByTime.push_back({id, m_member.now()});
+}
+
 void dispatch_entry::stopRuns(const job_record &job)
 {
     if (job.outstanding == 0) {
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -144,6 +144,12 @@
         auto candidates = m_pool.candidates(request);
         while (!step.waiting.empty()) {
             const auto index = step.waiting.back();
+            const batch_task task{job.submission.id, stepIndex, index};
+            if (const auto start = m_crashes.earliestStart(task); start > m_member.now()) {
+                step.waiting.pop_back();
+                deferTask(task, start);
+                continue;
+            }
             request.avoidedAgent = step.tasks[index].avoidedAgent;
             request.mayProbe = step.tasks[index].noRoomRefusals < m_options.limits.immediateOrders;
             const auto chosen = m_pool.choose(candidates, request);
@@ -151,7 +157,8 @@
                 return false;
             }
             step.waiting.pop_back();
-            addOrder(*chosen.agent, job, {stepIndex, index, chosen.free && request.mayProbe});
+            addOrder(*chosen.agent, job,
+                     {stepIndex, index, chosen.free && request.mayProbe, m_crashes.suspect(task)});
         }
     }
     return true;
@@ -160,7 +167,7 @@
 /// Adds a run of a task to the next message to `agent`.
 void dispatch_entry::addOrder(agent_view &agent, job_record &job, const task_order &order)
 {
-    const auto [step, index, immediate] = order;
+    const auto [step, index, immediate, suspect] = order;
     auto &unsent = m_unsentOrders[agent.incarnation];
     if (unsent.orders_size() == 0) {
         unsent.set_number(++agent.ordersSent);
@@ -169,7 +176,7 @@
     auto *group =
             unsent.orders_size() == 0 ? nullptr : unsent.mutable_orders(unsent.orders_size() - 1);
     if (group == nullptr || group->job() != id || group->step() != step ||
-        group->immediate() != immediate) {
+        group->immediate() != immediate || group->suspect() != suspect) {
         group = unsent.add_orders();
         group->set_job(id);
         group->set_step(step);
@@ -177,6 +184,7 @@
         toWire(job.submission.steps[step].demand, *group->mutable_demand());
         group->set_priority(job.route.priority);
         group->set_immediate(immediate);
+        group->set_suspect(suspect);
         group->set_remaining_ms(toMilliseconds(job.expires - m_member.now()));
     }
     auto &task = job.steps[step].tasks[index];
@@ -206,6 +214,7 @@
                   {"agent", toText(agent.incarnation)},
                   {"target", agent.target},
                   {"immediate", immediate ? "true" : "false"},
+                  {"suspect", suspect ? "true" : "false"},
                   {"report_age_ms", std::to_string(reportAge)},
                   {"running_cpu", std::to_string(agent.running.cpuMillis)},
                   {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -39,6 +39,9 @@
     const auto run = known->second;
     agent.outstanding.erase(known);
     if (end.outcome() == wire::RUN_OUTCOME_LOST) {
+        if (end.crash_possible()) {
+            m_crashes.recordLoss(ref.task, m_member.now());
+        }
         handleLostRun(ref, agent.incarnation, "run_lost");
         return;
     }
@@ -168,6 +171,7 @@
 {
     auto &step = job.steps.at(ref.task.step);
     auto &task = step.tasks.at(ref.task.index);
+    m_crashes.remove(ref.task);
     if (task.state == batch_task_state::done) {
         return;
     }
@@ -201,6 +205,75 @@
     requeueTask(job, ref.task, agent);
 }
 
+/// Records the tasks under which the target of an agent has crashed.
+void dispatch_entry::handleCrashes(agent_view &agent, const wire::DispatchReport &report)
+{
+    for (const auto &crashed : report.crashed()) {
+        const batch_task task{batch_job_id{crashed.job()}, crashed.step(), crashed.index()};
+        agent.crashesSeen = std::max(agent.crashesSeen, crashed.crash());
+        // A crash may become known after another run of the task has succeeded.
+        if (!taskDone(task) &&
+            m_crashes.recordCrash(task, {agent.incarnation, crashed.crash()}, m_member.now())) {
+            giveUp(task);
+        }
+    }
+}
+
+bool dispatch_entry::taskDone(const batch_task &task) const
+{
+    const auto found = m_jobs.find(task.job);
+    return found != m_jobs.end() && task.step < found->second.steps.size() &&
+           task.index < found->second.steps[task.step].tasks.size() &&
+           found->second.steps[task.step].tasks[task.index].state == batch_task_state::done;
+}
+
+void dispatch_entry::giveUp(const batch_task &task)
+{
+    const auto found = m_jobs.find(task.job);
+    if (found == m_jobs.end() || found->second.endState) {
+        return;
+    }
+    ++m_counters.tasksGivenUp;
+    m_member.log("task_gave_up", {{"job", toText(task.job)},
+                                  {"step", std::to_string(task.step)},
+                                  {"index", std::to_string(task.index)},
+                                  {"crashes", std::to_string(m_crashes.crashes(task))}});
+    endJob(found->second, batch_job_state::failed, error_kind::none);
+    removeIfFinished(task.job);
+}
+
+/// Delays a waiting task, so that a crash under its newest run is known before it starts again.
+void dispatch_entry::deferTask(const batch_task &task, time_point until)
+{
+    m_jobs.at(task.job).steps.at(task.step).tasks.at(task.index).deferred = true;
+    m_deferred.emplace(until, task);
+    m_member.log("task_deferred",
+                 {{"job", toText(task.job)},
+                  {"step", std::to_string(task.step)},
+                  {"index", std::to_string(task.index)},
+                  {"wait_ms", std::to_string(toMilliseconds(until - m_member.now()))}});
+}
+
+void dispatch_entry::releaseDeferredTasks()
+{
+    while (!m_deferred.empty() && m_deferred.begin()->first <= m_member.now()) {
+        const auto task = m_deferred.extract(m_deferred.begin()).mapped();
+        const auto found = m_jobs.find(task.job);
+        // The job may have ended, and another one with its id may have been submitted.
+        if (found == m_jobs.end() || task.step >= found->second.steps.size() ||
+            task.index >= found->second.steps[task.step].tasks.size()) {
+            continue;
+        }
+        auto &step = found->second.steps[task.step];
+        if (std::exchange(step.tasks[task.index].deferred, false)) {
+            step.waiting.push_back(task.index);
+            if (!found->second.ending) {
+                enqueue(found->second);
+            }
+        }
+    }
+}
+
 void dispatch_entry::requeueTask(job_record &job, const batch_task &task,
                                  incarnation_id avoidedAgent)
 {
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -86,6 +86,18 @@
                            {"address", report.address},
                            {"cpu_millis", std::to_string(report.capacity.cpuMillis)},
                            {"runs_lost", std::to_string(m_runs.size())}});
+    reportCrash();
+    const bool planned =
+            m_shutdownAnnounced || (m_target && m_target->phase == target_phase::draining);
+    auto lapsed = std::exchange(m_lapsed, {});
+    if (!planned) {
+        m_crashed = std::move(lapsed);
+        for (const auto &[ref, run] : m_runs) {
+            if (!run.fromEarlierLifetime) {
+                m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
+            }
+        }
+    }
     m_target = report;
     m_lifetimeKnownSince = m_clock.now();
     m_shutdownAnnounced = false;
@@ -111,6 +123,30 @@
     }
 }
 
+void target_session::reportCrash()
+{
+    if (m_crashed.empty()) {
+        return;
+    }
+    const auto runs = std::exchange(m_crashed, {});
+    std::optional<time_point> lastSuspect;
+    for (const auto &[ref, run] : runs) {
+        if (run.suspect) {
+            lastSuspect = std::max(lastSuspect.value_or(run.started), run.started);
+        }
+    }
+    std::vector<batch_task> tasks;
+    for (const auto &[ref, run] : runs) {
+        if (run.suspect || !lastSuspect || run.started >= *lastSuspect) {
+            tasks.push_back(ref.task);
+        }
+    }
+    log("target_crashed", {{"target", m_target->lifetime.id},
+                           {"runs", std::to_string(runs.size())},
+                           {"reported", std::to_string(tasks.size())}});
+    m_crashes.push_back(std::move(tasks));
+}
+
 void target_session::handleShutdownAnnouncement(const std::string &targetId)
 {
     if (m_target && m_target->lifetime.id == targetId) {
@@ -135,10 +171,13 @@
     return {id, m_target->address, m_target->lifetime.id, timeout};
 }
 
-void target_session::start(const run_ref &ref, const std::string &spec, const resources &demand)
+void target_session::start(const run_ref &ref, const std::string &spec, const resources &demand,
+                           bool suspect)
 {
     const auto now = m_clock.now();
-    m_runs.emplace(ref, session_run{demand, run_state::starting, m_fence, now, now, false, {}});
+    m_runs.emplace(
+            ref,
+            session_run{demand, run_state::starting, m_fence, now, now, false, {}, false, suspect});
     m_committed += demand;
     m_calls.emplace_back(start_run{addPendingCall(call_kind::start, ref, m_limits.startTimeout),
                                    ref, spec, extendLease(), m_fence});
@@ -271,7 +310,11 @@
                          {"runs_lost", std::to_string(m_runs.size())},
                          {"lease_end_ms", std::to_string(m_leaseEnd)}});
     while (!m_runs.empty()) {
-        end(run_ref{m_runs.begin()->first}, run_outcome::kind::lost);
+        const auto &[ref, run] = *m_runs.begin();
+        if (!run.fromEarlierLifetime) {
+            m_lapsed.emplace(ref, interrupted_run{run.suspect, run.started});
+        }
+        end(run_ref{ref}, run_outcome::kind::lost, start_refusal::none, true);
     }
 }
 
@@ -388,6 +431,13 @@
         return;
     }
     const std::set<run_ref> running{listing.running.begin(), listing.running.end()};
+    m_lapsed.clear();
+    std::erase_if(m_crashed, [&](const auto &run) {
+        return running.contains(run.first) ||
+               std::ranges::any_of(listing.ended,
+                                   [&](const auto &ended) { return ended.ref == run.first; });
+    });
+    reportCrash();
     applyEnds(listing.ended);
     resolveRuns(call, running);
     stopForeign(running);
@@ -449,7 +499,8 @@
         } else {
             log("run_missing", {{"run", toText(ref)}, {"fence", std::to_string(call.fence)}});
         }
-        end(ref, result, notStarted ? start_refusal::retry : start_refusal::none);
+        const bool crashPossible = !notStarted && m_runs.at(ref).fromEarlierLifetime;
+        end(ref, result, notStarted ? start_refusal::retry : start_refusal::none, crashPossible);
     }
 }
 
@@ -477,7 +528,8 @@
                   [&](const auto &ended) { return now - ended.second >= staleListingLimit; });
 }
 
-void target_session::end(const run_ref &ref, run_outcome::kind result, start_refusal refusal)
+void target_session::end(const run_ref &ref, run_outcome::kind result, start_refusal refusal,
+                         bool crashPossible)
 {
     const auto found = m_runs.find(ref);
     if (found == m_runs.end()) {
@@ -485,7 +537,8 @@
     }
     m_committed -= found->second.demand;
     m_recentlyEnded[ref] = m_clock.now();
-    m_outcomes.push_back({ref, result, refusal, m_clock.now() - found->second.started});
+    m_outcomes.push_back(
+            {ref, result, refusal, m_clock.now() - found->second.started, crashPossible});
     m_runs.erase(found);
 }
 
--- a/tests/dispatch/fake_target.hpp
+++ b/tests/dispatch/fake_target.hpp
@@ -38,6 +38,8 @@
     void restart(std::string id, std::int64_t startedMs, time_point now);
     /// @brief Ends the lifetime and all runs without an announcement.
     void crash(time_point now);
+    /// @brief Changes the capacity that later status reports contain.
+    void resize(const resources &capacity) { m_capacity = capacity; }
 
     /// @brief Makes the next status report.
     [[nodiscard]] target_report report(time_point now);
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -12,6 +12,10 @@
 /// Delay after which a caller submits a job again whose request ended without an answer. The
 /// callers of the users' platform use the same, and so does tests/soak/callers.py.
 constexpr duration retryDelay = 1'300ms;
+constexpr duration crashDelay = 10ms; ///< from the start of a deadly run to the crash
+/// Time after which a target that a run has crashed reports its next lifetime; measured on the
+/// users' platform.
+constexpr duration targetRestartTime = 3'300ms;
 constexpr resources targetCapacity{32'000, 65'536, 0};
 
 } // namespace
@@ -521,6 +525,30 @@
     if (job.refusals > 0 && job.refusals == job.attempts) {
         reportViolation("a task of a refused job was started");
     }
+    ++m_startsByJob[ref.task.job];
+    if (m_crashesByTask[ref.task] >= 3 && ++m_startsAfterThreeCrashes[ref.task] == 3) {
+        reportViolation("task " + toText(ref) + " was started three times after three crashes");
+    }
+    if (!deadlySpec.empty() && job.submission.spec == deadlySpec) {
+        at(now() + crashDelay, [this, ref] { crashTargetOf(ref); });
+    }
+}
+
+void fleet_simulation::crashTargetOf(const run_ref &ref)
+{
+    for (unsigned number = 0; number < m_targets.size(); ++number) {
+        if (m_targets[number]->running().contains(ref)) {
+            ++m_crashes;
+            ++m_crashesByTask[ref.task];
+            crashTarget(number, targetRestartTime, true);
+        }
+    }
+}
+
+std::size_t fleet_simulation::startsOf(batch_job_id job) const
+{
+    const auto found = m_startsByJob.find(job);
+    return found == m_startsByJob.end() ? 0 : found->second;
 }
 
 void fleet_simulation::handleRunRemoval(const run_ref &ref, run_end_kind kind)
--- a/tests/dispatch/fleet_simulation.hpp
+++ b/tests/dispatch/fleet_simulation.hpp
@@ -55,8 +55,9 @@
 ///        when its deadline has passed or when its entry fails.
 ///
 /// Checks continuously that no task has two runs at the same time, that no target's
-/// capacity is exceeded, that a refused job never starts, and that a job reported as succeeded has
-/// completed all its tasks.
+/// capacity is exceeded, that a refused job never starts, that a job reported as succeeded has
+/// completed all its tasks, and that a task is started at most twice after three targets have
+/// crashed because of it.
 class fleet_simulation
 {
 public:
@@ -109,6 +110,9 @@
     /// @brief Crashes a target with all its runs, and starts it again after `downFor`.
     /// @param sameId Whether it starts again under its old id.
     void crashTarget(unsigned number, duration downFor, bool sameId);
+    /// @brief Spec of jobs whose runs crash their target 10 ms after their start; the target starts
+    ///        again 3.3 s later. Empty: no such jobs.
+    std::string deadlySpec;
 
     [[nodiscard]] std::string entryName(unsigned number) const;
     [[nodiscard]] std::string agentName(unsigned number) const;
@@ -124,6 +128,10 @@
     [[nodiscard]] std::size_t runningTasks() const;
     /// @brief Number of runs started so far.
     [[nodiscard]] std::size_t starts() const { return m_starts; }
+    /// @brief Number of crashes that runs with `deadlySpec` have caused so far.
+    [[nodiscard]] std::size_t crashes() const { return m_crashes; }
+    /// @brief Number of runs of a job started so far.
+    [[nodiscard]] std::size_t startsOf(batch_job_id job) const;
     /// @brief Messages sent and received by a process so far.
     [[nodiscard]] const message_count &traffic(const std::string &endpoint) const;
 
@@ -147,6 +155,7 @@
     void reportViolation(const std::string &what);
     void handleRunStart(const run_ref &ref, fake_target &target);
     void handleRunRemoval(const run_ref &ref, run_end_kind kind);
+    void crashTargetOf(const run_ref &ref);
     [[nodiscard]] bool isPartitioned(const std::string &from, const std::string &to) const;
     [[nodiscard]] bool occurs(unsigned percentage);
 
@@ -175,7 +184,11 @@
     std::int64_t m_lastLifetime = 1;
     std::uint64_t m_lastFence = 1'000;
     std::size_t m_starts = 0;
-    std::map<std::string, message_count> m_traffic; ///< by endpoint
+    std::size_t m_crashes = 0;
+    std::map<batch_job_id, std::size_t> m_startsByJob;
+    std::map<batch_task, unsigned> m_crashesByTask;           ///< caused by the task
+    std::map<batch_task, unsigned> m_startsAfterThreeCrashes; ///< of the task
+    std::map<std::string, message_count> m_traffic;           ///< by endpoint
 };
 
 } // namespace bamboohead::dispatch_test
--- /dev/null
+++ b/tests/dispatch_agent_test.cpp
@@ -0,0 +1,193 @@
+#include "bamboohead/dispatch/dispatch_agent.hpp"
+#include "dispatch/fake_target.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace bamboohead;
+using namespace bamboohead::dispatch_test;
+
+namespace {
+
+constexpr incarnation_id agentId{1};
+constexpr resources capacity{32'000, 65'536, 0};
+
+run_ref refOf(std::uint32_t index)
+{
+    return {{batch_job_id{7}, 0, index}, 1};
+}
+
+/// An agent with its target and hand-written messages of entries.
+class dispatch_agent_fixture
+{
+public:
+    dispatch_agent_fixture()
+        : target{"i-1", capacity,
+                 [this](const run_ref &ref) {
+                     return task_plan{demands.at(ref.task.index), runTime, false};
+                 },
+                 time.now()}
+        , agent{options(), time}
+    {
+        time.advance(10s);
+        target.onStart = [this](const run_ref &ref) {
+            started.push_back(ref.task.index);
+            overloaded = overloaded || !target.used().fitsIn(target.capacity());
+        };
+        target.onRemoved = [](const run_ref &, run_end_kind) {};
+        desired_state state;
+        state.revision = 1;
+        state.version = 1;
+        state.services = {"quotes"};
+        agent.handleConfig(state);
+        agent.handleTargetReport(target.report(time.now()));
+        pass(200ms);
+    }
+
+    static dispatch_agent_options options()
+    {
+        dispatch_agent_options made;
+        made.self = {agentId, "a1", wire::ROLE_AGENT, "graz"};
+        return made;
+    }
+
+    /// A message of an entry that continues all runs of the test.
+    wire::Envelope message(incarnation_id entry)
+    {
+        wire::Envelope envelope;
+        envelope.set_sender(static_cast<std::uint64_t>(entry));
+        envelope.set_receiver(static_cast<std::uint64_t>(agentId));
+        envelope.set_endpoint("e" + std::to_string(static_cast<std::uint64_t>(entry)));
+        envelope.set_role(wire::ROLE_ENTRY);
+        envelope.set_zone("graz");
+        envelope.set_stamp_us(toStamp(time.now()));
+        envelope.set_echo_us(toStamp(time.now()));
+        auto &orders = *envelope.mutable_dispatch_orders();
+        orders.set_epoch(1);
+        orders.set_crashes_seen(crashesSeen[entry]);
+        return envelope;
+    }
+
+    /// Orders the run `index` for the entry 2.
+    void order(std::uint32_t index, const resources &demand, bool immediate = false,
+               bool suspect = false)
+    {
+        demands[index] = demand;
+        auto envelope = message(incarnation_id{2});
+        envelope.mutable_dispatch_orders()->set_number(++orderNumber);
+        auto &added = *envelope.mutable_dispatch_orders()->add_orders();
+        added.set_job(static_cast<std::uint64_t>(refOf(index).task.job));
+        added.set_spec("spec");
+        toWire(demand, *added.mutable_demand());
+        added.set_remaining_ms(60'000);
+        added.set_immediate(immediate);
+        added.set_suspect(suspect);
+        auto &task = *added.add_tasks();
+        task.set_index(index);
+        task.set_run(1);
+        agent.receive(envelope);
+        pass(20ms);
+    }
+
+    /// Advances the clock, executes all calls and collects the reports.
+    void pass(duration length)
+    {
+        const auto until = time.now() + length;
+        while (time.now() < until) {
+            time.advance(10ms);
+            target.advance(time.now());
+            for (const auto entry : entries) {
+                agent.receive(message(entry));
+            }
+            agent.tick();
+            for (const auto &action : agent.takeActions()) {
+                if (const auto *const call = std::get_if<target_call>(&action)) {
+                    agent.handleCallResult(target.call(*call, time.now()));
+                } else if (const auto *const sent = std::get_if<send_message>(&action)) {
+                    handleReport(sent->envelope);
+                }
+            }
+        }
+    }
+
+    void handleReport(const wire::Envelope &envelope)
+    {
+        const auto &report = envelope.dispatch_report();
+        for (const auto &end : report.ends()) {
+            ends[end.run().index()] = end;
+        }
+        for (const auto &crashed : report.crashed()) {
+            crashes[incarnation_id{envelope.receiver()}].push_back(crashed.index());
+        }
+    }
+
+    [[nodiscard]] bool refusedForRoom(std::uint32_t index) const
+    {
+        const auto end = ends.find(index);
+        return end != ends.end() && end->second.outcome() == wire::RUN_OUTCOME_REFUSED &&
+               errorFromWire(end->second.error()) == error_kind::no_room;
+    }
+
+    manual_clock time;
+    duration runTime = 60s;
+    std::map<std::uint32_t, resources> demands;
+    std::vector<incarnation_id> entries{incarnation_id{2}, incarnation_id{3}};
+    std::map<incarnation_id, std::uint64_t> crashesSeen;
+    std::uint64_t orderNumber = 0;
+    fake_target target;
+    dispatch_agent agent;
+    std::vector<std::uint32_t> started;
+    bool overloaded = false; ///< a start has exceeded the capacity
+    std::map<std::uint32_t, wire::RunEnd> ends;
+    std::map<incarnation_id, std::vector<std::uint32_t>> crashes; ///< as reported to each entry
+};
+
+} // namespace
+
+// Guards against two suspects that crash a target together, so that neither is convicted alone.
+TEST_CASE("an agent runs one suspect at a time")
+{
+    dispatch_agent_fixture fixture;
+    fixture.runTime = 500ms;
+    fixture.order(0, {1'000, 64, 0}, true, true);
+    REQUIRE(fixture.started == std::vector<std::uint32_t>{0});
+    fixture.order(1, {1'000, 64, 0}, true, true);
+    CHECK(fixture.refusedForRoom(1));
+    fixture.order(2, {1'000, 64, 0}, false, true);
+    fixture.order(3, {1'000, 64, 0}, false, false);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 3});
+    fixture.pass(600ms);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 3, 2});
+}
+
+// Guards against a crash that only the entry knows which ordered the run, so that a resubmitted job
+// crashes further targets.
+TEST_CASE("an agent reports a crash to all entries until they have received it")
+{
+    dispatch_agent_fixture fixture;
+    fixture.order(0, {1'000, 64, 0});
+    REQUIRE(fixture.started.size() == 1);
+    fixture.target.crash(fixture.time.now());
+    fixture.pass(3'300ms);
+    CHECK(fixture.crashes.empty());
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    for (const auto entry : fixture.entries) {
+        REQUIRE(fixture.crashes.contains(entry));
+        CHECK(fixture.crashes[entry].front() == 0);
+    }
+    CHECK(fixture.agent.counters().crashes == 1);
+    fixture.crashesSeen[incarnation_id{2}] = 1;
+    fixture.pass(50ms);
+    fixture.crashes.clear();
+    fixture.pass(2s);
+    CHECK_FALSE(fixture.crashes.contains(incarnation_id{2}));
+    CHECK(fixture.crashes.contains(incarnation_id{3}));
+    fixture.crashes.clear();
+    fixture.entries.push_back(incarnation_id{4}); // a restarted entry
+    fixture.pass(200ms);
+    CHECK(fixture.crashes.contains(incarnation_id{4}));
+}
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace bamboohead;
 using namespace bamboohead::dispatch_test;
 using namespace std::chrono_literals;
@@ -268,3 +270,164 @@
     REQUIRE(entry.shutdownComplete());
     CHECK(!entry.exitDue());
 }
+
+namespace {
+
+/// An entry and one agent whose reports the test writes.
+class crash_fixture
+{
+public:
+    crash_fixture()
+    {
+        time.advance(10s);
+        entry.handleConfig(stateWithOneRoute());
+        time.advance(500ms);
+        report();
+    }
+
+    void submit(std::uint32_t tasks = 1)
+    {
+        auto job = smallJob(1);
+        job.callerTimeout = 60s;
+        job.steps.front().count = tasks;
+        entry.submit(caller_request{1}, entry.config().routes.front(), job);
+        takeActions();
+    }
+
+    /// The agent reports the end of the newest run of a task, if `outcome` is given, and a crash
+    /// under the task 0, if `crash` is not 0.
+    void report(std::optional<wire::RunOutcome> outcome = std::nullopt, std::uint64_t crash = 0,
+                bool crashPossible = true)
+    {
+        time.advance(20ms);
+        auto envelope = reportOf(agentId, time.now());
+        envelope.set_stamp_us(toStamp(time.now()));
+        auto &message = *envelope.mutable_dispatch_report();
+        message.set_reconcile(outcome || crash > 0 || runs.empty());
+        if (outcome) {
+            auto &end = *message.add_ends();
+            end.set_number(++m_ends);
+            toWire(run_ref{{batch_job_id{1}, 0, 0}, runs[0]}, *end.mutable_run());
+            end.set_outcome(*outcome);
+            end.set_crash_possible(*outcome == wire::RUN_OUTCOME_LOST && crashPossible);
+        }
+        if (crash > 0) {
+            auto &crashed = *message.add_crashed();
+            crashed.set_job(1);
+            crashed.set_crash(crash);
+        }
+        entry.receive(envelope);
+        entry.tick();
+        takeActions();
+    }
+
+    void pass(duration length)
+    {
+        for (const auto end = time.now() + length; time.now() < end;) {
+            report();
+        }
+    }
+
+    manual_clock time;
+    dispatch_entry entry{entryOptions(), time};
+    std::map<std::uint32_t, std::uint32_t> runs; ///< newest ordered run of each task
+    bool suspect = false;                        ///< whether the newest order was for a suspect
+    std::vector<job_reply> replies;
+
+private:
+    void takeActions()
+    {
+        for (const auto &action : entry.takeActions()) {
+            if (const auto *const message = std::get_if<send_message>(&action)) {
+                for (const auto &order : message->envelope.dispatch_orders().orders()) {
+                    suspect = order.suspect();
+                    for (const auto &task : order.tasks()) {
+                        runs[task.index()] = task.run();
+                    }
+                }
+            } else if (const auto *const reply = std::get_if<job_reply>(&action)) {
+                replies.push_back(*reply);
+            }
+        }
+    }
+
+    std::uint64_t m_ends = 0; ///< number of the newest end
+};
+
+} // namespace
+
+// Guards against a task that is started on one target after the other although each one crashes, in
+// the same entry or in one to which the caller has submitted the job again. Shows also what an
+// innocent task meets that was running on two targets when other tasks crashed them: no report can
+// tell it from one that has caused both crashes, so it is given up.
+TEST_CASE("a task under which two targets have crashed is given up")
+{
+    crash_fixture fixture;
+    SUBCASE("of an open job")
+    {
+        fixture.submit();
+        REQUIRE(fixture.runs[0] == 1);
+        CHECK_FALSE(fixture.suspect);
+        fixture.report(wire::RUN_OUTCOME_LOST);
+        CHECK(fixture.runs[0] == 2);
+        CHECK(fixture.suspect);
+        fixture.report(std::nullopt, 1);
+        fixture.report(wire::RUN_OUTCOME_LOST, 1);
+        // The second loss may be a crash as well: the task waits for the proof.
+        fixture.pass(3'900ms);
+        CHECK(fixture.runs[0] == 2);
+        CHECK(fixture.replies.empty());
+        SUBCASE("the proof arrives")
+        {
+            fixture.report(std::nullopt, 2);
+            REQUIRE(fixture.replies.size() == 1);
+            CHECK(fixture.entry.counters().tasksGivenUp == 1);
+        }
+        SUBCASE("the target has not crashed")
+        {
+            fixture.pass(200ms);
+            CHECK(fixture.runs[0] == 3);
+            CHECK(fixture.replies.empty());
+            return;
+        }
+    }
+    SUBCASE("of a job that is submitted later")
+    {
+        fixture.report(std::nullopt, 1);
+        fixture.report(std::nullopt, 2);
+        fixture.submit();
+        CHECK(fixture.runs.empty());
+        REQUIRE(fixture.replies.size() == 1);
+    }
+    CHECK(fixture.replies[0].state == batch_job_state::failed);
+    CHECK(fixture.replies[0].error == error_kind::none);
+    CHECK(fixture.entry.stateOf(batch_job_id{1}) == batch_job_state::failed);
+}
+
+// Guards against tasks that wait, or run one at a time, after losses for which no crash is the
+// cause.
+TEST_CASE("a task whose run was lost on a target that responds is no suspect")
+{
+    crash_fixture fixture;
+    fixture.submit();
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        CHECK(fixture.runs[0] == run);
+        CHECK_FALSE(fixture.suspect);
+        fixture.report(wire::RUN_OUTCOME_LOST, 0, false);
+    }
+}
+
+// Guards against a job that is answered as failed because of a task that has succeeded.
+TEST_CASE("a task is not given up when crashes become known after it has succeeded")
+{
+    crash_fixture fixture;
+    fixture.submit(2);
+    fixture.report(wire::RUN_OUTCOME_LOST);
+    REQUIRE(fixture.runs[0] == 2);
+    fixture.report(wire::RUN_OUTCOME_DONE);
+    fixture.report(std::nullopt, 1);
+    fixture.report(std::nullopt, 2);
+    fixture.pass(200ms);
+    CHECK(fixture.replies.empty());
+    CHECK(fixture.entry.counters().tasksGivenUp == 0);
+}
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -59,6 +59,9 @@
         for (const auto &end : session.takeOutcomes()) {
             outcomes.push_back(end);
         }
+        for (auto &crash : session.takeCrashes()) {
+            crashes.push_back(std::move(crash));
+        }
     }
 
     void execute(const target_call &call)
@@ -92,6 +95,7 @@
     bool silent = false;     ///< no call is executed and all time out
     std::deque<target_call> lostCalls;
     std::vector<run_outcome> outcomes;
+    std::vector<std::vector<batch_task>> crashes;
     std::vector<run_ref> started;
 };
 
@@ -398,3 +402,140 @@
     REQUIRE(fixture.outcomes.size() == 1);
     CHECK(fixture.outcomes.front().refusal == start_refusal::old_run);
 }
+
+// Guards against a task that crashes target after target because no crash is attributed to it.
+TEST_CASE("a crash is reported with the runs of the earlier lifetime")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(300ms);
+    REQUIRE(fixture.ended(refOf(0), run_outcome::kind::done));
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(1), "spec", demand);
+    fixture.session.start(refOf(2), "spec", demand);
+    fixture.pass(50ms);
+    SUBCASE("known after the lease has expired")
+    {
+        fixture.target.crash(fixture.time.now());
+        fixture.pass(3'300ms);
+        CHECK(fixture.ended(refOf(1), run_outcome::kind::lost));
+        CHECK(fixture.crashes.empty());
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    SUBCASE("known before the lease has expired")
+    {
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    REQUIRE(fixture.crashes.size() == 1);
+    CHECK(fixture.crashes[0] == std::vector{refOf(1).task, refOf(2).task});
+    CHECK(std::ranges::all_of(fixture.outcomes, [](const auto &end) {
+        return end.crashPossible == (end.result == run_outcome::kind::lost);
+    }));
+}
+
+// Guards against a run whose start had no reply, because the target crashed at once, and that is
+// not held responsible.
+TEST_CASE("a crash is reported with a run whose start call had no reply")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.loseStarts = true;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.target.crash(fixture.time.now());
+    fixture.deliver();
+    fixture.pass(3'300ms);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.pass(1'000ms);
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    REQUIRE(fixture.crashes.size() == 1);
+    CHECK(fixture.crashes[0] == std::vector{refOf(0).task});
+}
+
+// Guards against a job that is answered as failed because its targets were cut off.
+TEST_CASE("runs that were lost while the same lifetime continued are no sign of a crash")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(50ms);
+    fixture.silent = true;
+    fixture.pass(2s);
+    REQUIRE(fixture.ended(refOf(0), run_outcome::kind::lost));
+    fixture.silent = false;
+    fixture.pass(200ms);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.pass(200ms);
+    CHECK(fixture.crashes.empty());
+}
+
+// Guards against innocent tasks that are given up because a known suspect was started beside them,
+// and against a task that is not held responsible because a suspect was running when it started.
+TEST_CASE("a crash is not reported with runs beside which a suspect was started")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(50ms);
+    fixture.session.start(refOf(1), "spec", demand, true);
+    fixture.pass(50ms);
+    std::vector expected{refOf(1).task};
+    SUBCASE("the suspect was started last")
+    {}
+    SUBCASE("another run was started later")
+    {
+        fixture.session.start(refOf(2), "spec", demand);
+        fixture.pass(50ms);
+        expected.push_back(refOf(2).task);
+    }
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.pass(100ms);
+    REQUIRE(fixture.crashes.size() == 1);
+    CHECK(fixture.crashes[0] == expected);
+}
+
+// Guards against tasks that are held responsible for the planned restart of their target.
+TEST_CASE("a target that was leaving has not crashed")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(50ms);
+    SUBCASE("draining")
+    {
+        fixture.target.phase = target_phase::draining;
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    }
+    SUBCASE("shutdown announced")
+    {
+        fixture.session.handleShutdownAnnouncement("i-1");
+    }
+    fixture.target.crash(fixture.time.now());
+    fixture.pass(2s);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    CHECK(fixture.crashes.empty());
+}
+
+// Guards against a task that is held responsible for a crash before its start.
+TEST_CASE("a run that the next lifetime has started is not part of the crash")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.deliver();
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.start(refOf(1), "spec", demand);
+    fixture.pass(500ms);
+    REQUIRE(fixture.target.running().contains(refOf(1)));
+    REQUIRE(fixture.crashes.size() == 1);
+    CHECK(fixture.crashes[0] == std::vector{refOf(0).task});
+}
