Refuse queued runs that exceed a capacity that has shrunk

Callers saw: after the capacity of a target had shrunk, tasks that were queued at its agent waited until their time limit.

Cause: an agent checks the demand of a run against the capacity when it accepts the order. The first queued run blocks the others until it fits, and a run that exceeds the new capacity by itself never does.

The agent now refuses such runs with no_room, and their entry places them elsewhere.

Evidence: with the old code the new test finds that the run is not refused and that the next one does not start. A second test shows that starts stay within a capacity that has shrunk, and that a run that is being stopped still counts; it passed before.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -187,6 +187,7 @@
     void reconcile(incarnation_id entry, const wire::DispatchOrders &message);
     void stopRun(const run_ref &ref);
     void startQueued();
+    void refuseOversizedRuns();
     /// Stops the runs whose entry has echoed no stamp that is at most `entryLease` old, and those
     /// whose time limit has passed.
     void stopRunsOfSilentEntriesAndExpiredRuns();
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -217,11 +217,27 @@
     }
 }
 
+/// Refuses queued runs that exceed the capacity of the target by themselves, which may have shrunk
+/// since they were accepted.
+void dispatch_agent::refuseOversizedRuns()
+{
+    std::vector<run_ref> oversized;
+    for (const auto &[key, ref] : m_queue) {
+        if (!m_runs.at(ref).demand.fitsIn(m_session.target()->capacity)) {
+            oversized.push_back(ref);
+        }
+    }
+    for (const auto &ref : oversized) {
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::no_room, {});
+    }
+}
+
 void dispatch_agent::startQueued()
 {
     if (!m_session.ready() || m_member.config().zoneOutOfService(m_member.self().zone)) {
         return;
     }
+    refuseOversizedRuns();
     auto room = m_session.target()->capacity - m_session.committed();
     std::vector<std::pair<queue_key, run_ref>> started;
     // With two suspects, a crash would not show which of them has caused it.
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -191,3 +191,49 @@
     fixture.pass(200ms);
     CHECK(fixture.crashes.contains(incarnation_id{4}));
 }
+
+// Guards against starts that exceed the capacity of a target that has become smaller.
+TEST_CASE("an agent starts nothing beyond a capacity that has shrunk, stopping runs included")
+{
+    dispatch_agent_fixture fixture;
+    fixture.order(0, {16'000, 64, 0});
+    fixture.order(1, {16'000, 64, 0});
+    fixture.order(2, {4'000, 64, 0});
+    REQUIRE(fixture.started == std::vector<std::uint32_t>{0, 1});
+    fixture.target.resize({18'000, 65'536, 0});
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(300ms);
+    CHECK(fixture.started.size() == 2);
+    fixture.order(3, {1'000, 64, 0}, true);
+    CHECK(fixture.refusedForRoom(3));
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    CHECK(fixture.started.size() == 2); // the run that is being stopped still counts
+    CHECK_FALSE(fixture.ends.contains(0));
+    fixture.pass(300ms);
+    // 2,000 are left beside the run 1.
+    CHECK(fixture.started.size() == 2);
+    fixture.target.resize({20'000, 65'536, 0});
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 1, 2});
+    CHECK_FALSE(fixture.overloaded);
+}
+
+// Guards against a queued run that can never start on a smaller target and blocks all others until
+// its time limit.
+TEST_CASE("a queued run that no longer fits into the target's capacity is refused")
+{
+    dispatch_agent_fixture fixture;
+    fixture.runTime = 500ms;
+    fixture.order(0, {24'000, 64, 0});
+    fixture.order(1, {20'000, 64, 0});
+    fixture.order(2, {800, 64, 0});
+    REQUIRE(fixture.started == std::vector<std::uint32_t>{0});
+    fixture.target.resize({16'000, 65'536, 0});
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(700ms);
+    CHECK(fixture.refusedForRoom(1));
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 2});
+}
