Count only confirmed runs as crashed with their target

No evidence tells a start that came too late from one that has crashed the target at once, so only runs that the target has confirmed are reported with a crash. The test of the opposite expectation is turned round; a task that crashes its targets before they reply is a suspect and waits after two losses, but is not given up.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -139,9 +139,9 @@
     [[nodiscard]] std::vector<session_event> takeEvents() { return std::exchange(m_events, {}); }
     /// @}
     /// @brief Removes and returns the crashes of the target that have become known: for each, the
-    ///        tasks that the target was running. If a suspect was among them, only the suspects and
-    ///        the tasks that were not started before the last of them: it was started beside the
-    ///        others while they had not crashed the target.
+    ///        tasks that the target has confirmed to be running. If a suspect was among them, only
+    ///        the suspects and the tasks that were not started before the last of them: it was
+    ///        started beside the others while they had not crashed the target.
     ///
     /// Only a new lifetime proves a crash, as a target that does not respond may be cut off. A
     /// target that was draining or had announced its shutdown has not crashed.
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -93,7 +93,7 @@
     if (!planned) {
         m_crashed = std::move(lapsed);
         for (const auto &[ref, run] : m_runs) {
-            if (!run.fromEarlierLifetime) {
+            if (run.state == run_state::running) {
                 m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
             }
         }
@@ -311,7 +311,7 @@
                          {"lease_end_ms", std::to_string(m_leaseEnd)}});
     while (!m_runs.empty()) {
         const auto &[ref, run] = *m_runs.begin();
-        if (!run.fromEarlierLifetime) {
+        if (run.state == run_state::running) {
             m_lapsed.emplace(ref, interrupted_run{run.suspect, run.started});
         }
         end(run_ref{ref}, run_outcome::kind::lost, start_refusal::none, true);
