Do not count waiting suspects as overload

Cause: a suspect that waits at an agent for another one counted in the waiting demand, from which the entries estimate the backlog and refuse a share of the new jobs; and it took the place of runs that could start at once.

The new test fails without it.

--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -91,15 +91,22 @@
     return sum;
 }
 
+/// Suspects are not counted in `m_queued`, from which the entries estimate the overload: they wait
+/// for other suspects, not for free capacity.
 void dispatch_agent::enqueue(const run_ref &ref, const agent_run &run)
 {
     m_queue.emplace(run.key, ref);
-    m_queued[std::get<std::uint32_t>(run.key)] += run.demand;
+    if (!run.suspect) {
+        m_queued[std::get<std::uint32_t>(run.key)] += run.demand;
+    }
 }
 
 void dispatch_agent::dequeue(const agent_run &run)
 {
     m_queue.erase(run.key);
+    if (run.suspect) {
+        return;
+    }
     const auto queued = m_queued.find(std::get<std::uint32_t>(run.key));
     queued->second -= run.demand;
     if (queued->second == resources{}) {
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -162,6 +162,19 @@
     CHECK(fixture.started == std::vector<std::uint32_t>{0, 3, 2});
 }
 
+// Guards against innocent jobs that are refused as overload while suspects wait for each other.
+TEST_CASE("a suspect that waits for another one takes no capacity from other runs")
+{
+    dispatch_agent_fixture fixture;
+    fixture.runTime = 500ms;
+    fixture.order(0, {1'000, 64, 0}, true, true);
+    fixture.order(1, {20'000, 64, 0}, false, true);
+    fixture.order(2, {20'000, 64, 0}, true, false);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 2});
+    fixture.pass(1'100ms);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 2, 1});
+}
+
 // Guards against a crash that only the entry knows which ordered the run, so that a resubmitted job
 // crashes further targets.
 TEST_CASE("an agent reports a crash to all entries until they have received it")
