--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -155,7 +155,7 @@
     ///        started.
     [[nodiscard]] bool refusesJobs() const;
     /// @brief Whether `shutdown_complete` was emitted.
-    [[nodiscard]] bool shutdownComplete() const noexcept { return m_shutdownReported; }
+    [[nodiscard]] bool shutdownComplete() const noexcept { return m_shutdownCompleted.has_value(); }
     /// @brief Whether `exitTimeout` has passed since the shutdown started, and the answers of the
     ///        open jobs were emitted in an earlier tick.
     [[nodiscard]] bool exitDue() const;
@@ -297,10 +297,9 @@
     std::uint64_t m_lastEpoch = 0;
     bool m_dispatchDue = false; ///< tasks may have become placeable since the last dispatch pass
     std::optional<time_point> m_drainStart;
-    bool m_shutdownReported = false;
-    std::set<batch_job_id>
-            m_interrupted;          ///< jobs that may have run and were open at the drain limit
-    time_point m_shutdownCompleted; ///< when `shutdown_complete` was emitted
+    std::optional<time_point> m_shutdownCompleted; ///< when `shutdown_complete` was emitted
+    /// Jobs that may have run and were open at the drain limit.
+    std::set<batch_job_id> m_interrupted;
     dispatch_entry_counters m_counters;
 };
 
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -148,6 +148,12 @@
             socket.close(ignored);
         }
 
+        /// Whether a request was received as a whole and its response was not sent as a whole.
+        bool handlesRequest() const
+        {
+            return stage == request_stage::waiting || stage == request_stage::sending;
+        }
+
         /// Whether bytes have arrived that were not read.
         bool readable() const
         {
@@ -285,7 +291,7 @@
             from->buffer.clear();
             return true;
         }
-        if (from->stage == request_stage::waiting || from->stage == request_stage::sending) {
+        if (from->handlesRequest()) {
             // A pipelined request stays in the buffer until the previous one is answered. A buffer
             // that exceeds the size limits of a request closes the connection.
             return from->buffer.size() <=
@@ -378,9 +384,7 @@
         connection->stage = request_stage::none;
         resetParser(*connection);
         parse(connection);
-        const bool handlesRequest = connection->stage == request_stage::waiting ||
-                                    connection->stage == request_stage::sending;
-        if (connection->peerFinished && !handlesRequest) {
+        if (connection->peerFinished && !connection->handlesRequest()) {
             drop(connection);
         }
     }
@@ -391,8 +395,7 @@
     {
         if (m_connections.erase(connection->exchange) > 0) {
             connection->close();
-            if (std::exchange(connection->stage, request_stage::closing) ==
-                request_stage::waiting) {
+            if (connection->stage == request_stage::waiting) {
                 ++m_counters.disconnects;
                 m_onDisconnect(connection->exchange);
             }
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -190,7 +190,7 @@
     loop.onTick([&] {
         if (core.shutdownComplete()) {
             // Handlers have to run between finish() and the exit.
-            exitDue = exitDue || (finishing && core.exitDue());
+            exitDue = finishing && core.exitDue();
             callers.finish();
             finishing = true;
         } else if (core.refusesJobs()) {
@@ -199,8 +199,8 @@
         }
     });
     loop.setExitCondition([&] { return callers.finished() || exitDue; });
-    logStart(options.self, settings.http);
     loop.onHousekeeping([&] { loop.metrics().update(callers.counters()); });
+    logStart(options.self, settings.http);
     loop.run();
     callers.logCounters();
     logLine(log_level::info, "process_ended", {});
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -213,7 +213,7 @@
     evictEndedJobs();
     syncEntries();
     m_dispatchDue = m_dispatchDue || !m_queue.empty();
-    if (m_drainStart && !m_shutdownReported) {
+    if (m_drainStart && !m_shutdownCompleted) {
         const auto drained = m_member.now() - *m_drainStart;
         const bool drainComplete = m_jobs.empty() && drained >= m_options.limits.minDrainTime;
         if (drainComplete || drained >= m_options.limits.drainTimeout) {
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -42,7 +42,7 @@
 
 bool dispatch_entry::exitDue() const
 {
-    return m_shutdownReported && m_member.now() > m_shutdownCompleted &&
+    return m_shutdownCompleted && m_member.now() > *m_shutdownCompleted &&
            m_member.now() - *m_drainStart >= m_options.limits.exitTimeout;
 }
 
@@ -174,7 +174,7 @@
         m_member.push(job_reply{request, *job.endState, error_kind::none, {}, {}});
         return;
     }
-    if (m_shutdownReported) {
+    if (m_shutdownCompleted) {
         m_member.push(
                 job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
         return;
@@ -343,7 +343,6 @@
         }
         removeIfFinished(id);
     }
-    m_shutdownReported = true;
     m_shutdownCompleted = m_member.now();
     m_member.push(shutdown_complete{});
 }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -1,13 +1,11 @@
 #include "bamboohead/async_http_server.hpp"
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <chrono>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -73,9 +71,21 @@
     std::optional<error_code> m_end;
 };
 
-/// Server that answers each request with 503, at once or later.
+/// Server that answers each request with 503, at once or later. By default, a connection is idle at
+/// once.
 struct server_fixture
 {
+    explicit server_fixture(async_http_limits serverLimits = lingeringFor(0ms))
+        : limits{serverLimits}
+    {}
+
+    static async_http_limits lingeringFor(duration time)
+    {
+        async_http_limits limits;
+        limits.lingerTimeout = time;
+        return limits;
+    }
+
     void respond(http_exchange exchange)
     {
         http_server_response response{http::status::service_unavailable, 11};
@@ -86,14 +96,6 @@
     /// Runs all handlers that are ready, and those that become ready within a short time.
     void run(std::chrono::milliseconds time = 20ms) { context.restart(), context.run_for(time); }
 
-    /// Closes the connections that are idle, without lingering.
-    static async_http_limits limits()
-    {
-        async_http_limits limits;
-        limits.lingerTimeout = 0ms;
-        return limits;
-    }
-
     /// Runs until the caller has received a response or its connection has ended.
     void runUntilAnswered(raw_caller &caller)
     {
@@ -105,12 +107,23 @@
         }
     }
 
+    /// Sends a request whose response is too long for the caller's buffer, and more bytes after it.
+    void startLongResponse(raw_caller &caller, const std::string &furtherBytes = {})
+    {
+        responseBytes = 8'000'000;
+        caller.send(wholeRequest + furtherBytes);
+        run();
+        REQUIRE(server.counters().requests == 1);
+        REQUIRE(server.counters().responses == 0);
+    }
+
     asio::io_context context;
+    async_http_limits limits;
     std::size_t responseBytes = 10;
     bool answersAtOnce = true;
     std::vector<http_exchange> waiting;
     std::vector<http_exchange> disconnected;
-    async_http_server server{context, "127.0.0.1:0", limits(),
+    async_http_server server{context, "127.0.0.1:0", limits,
                              [this](http_exchange exchange, const http_server_request &) {
                                  if (answersAtOnce) {
                                      respond(exchange);
@@ -157,12 +170,8 @@
 // being sent.
 TEST_CASE_FIXTURE(server_fixture, "a response that is being sent is not cut off by a stop")
 {
-    responseBytes = 8'000'000;
     raw_caller caller{context, server.port(), 4'096};
-    caller.send(wholeRequest);
-    run();
-    REQUIRE(server.counters().requests == 1);
-    REQUIRE(server.counters().responses == 0);
+    startLongResponse(caller);
     server.finish();
     run();
     server.finish();
@@ -189,12 +198,8 @@
 // Guards against answers that are cut off when the caller shuts down its sending side meanwhile.
 TEST_CASE_FIXTURE(server_fixture, "a response is sent as a whole to a caller that sends no more")
 {
-    responseBytes = 8'000'000;
     raw_caller caller{context, server.port(), 4'096};
-    caller.send(wholeRequest);
-    run();
-    REQUIRE(server.counters().requests == 1);
-    REQUIRE(server.counters().responses == 0);
+    startLongResponse(caller);
     caller.finishSending();
     run();
     runUntilAnswered(caller);
@@ -236,24 +241,15 @@
 // Guards against an exit that resets connections before their callers have read the response.
 TEST_CASE("a stopped server waits until its callers have closed their connections")
 {
-    asio::io_context context;
-    async_http_limits limits;
-    limits.lingerTimeout = 200ms;
-    std::optional<async_http_server> server;
-    server.emplace(
-            context, "127.0.0.1:0", limits,
-            [&](http_exchange exchange, const http_server_request &) {
-                server->respond(exchange, {http::status::service_unavailable, 11});
-            },
-            [](http_exchange) {});
+    server_fixture fixture{server_fixture::lingeringFor(200ms)};
     std::optional<raw_caller> caller;
-    caller.emplace(context, server->port());
+    caller.emplace(fixture.context, fixture.server.port());
     caller->send(wholeRequest);
-    server->finish();
-    context.run_for(50ms);
-    server->finish();
-    CHECK(server->counters().responses == 1);
-    CHECK(!server->finished());
+    fixture.server.finish();
+    fixture.run(50ms);
+    fixture.server.finish();
+    CHECK(fixture.server.counters().responses == 1);
+    CHECK(!fixture.server.finished());
 
     SUBCASE("the caller closes its connection")
     {
@@ -261,57 +257,45 @@
     }
     SUBCASE("the caller keeps its connection open")
     {
-        context.run_for(250ms);
+        fixture.run(250ms);
     }
-    context.run_for(20ms);
-    CHECK(server->finished());
+    fixture.run();
+    CHECK(fixture.server.finished());
 }
 
 // Guards against connections that are closed between their acceptance and their first request.
 TEST_CASE("a connection is idle only after the linger timeout")
 {
-    asio::io_context context;
-    async_http_limits limits;
-    limits.lingerTimeout = 100ms;
-    async_http_server server{context, "127.0.0.1:0", limits,
-                             [](http_exchange, const http_server_request &) {},
-                             [](http_exchange) {}};
-    raw_caller caller{context, server.port()};
-    context.run_for(20ms);
-    server.closeIdleConnections();
-    CHECK(server.connections() == 1);
-    context.run_for(120ms);
-    server.closeIdleConnections();
-    CHECK(server.connections() == 0);
+    server_fixture fixture{server_fixture::lingeringFor(100ms)};
+    raw_caller caller{fixture.context, fixture.server.port()};
+    fixture.run();
+    fixture.server.closeIdleConnections();
+    CHECK(fixture.server.connections() == 1);
+    fixture.run(120ms);
+    fixture.server.closeIdleConnections();
+    CHECK(fixture.server.connections() == 0);
 }
 
 // Guards against requests that are delivered although their connection was dropped.
 TEST_CASE("a dropped connection delivers no further request")
 {
-    asio::io_context context;
     async_http_limits limits;
     limits.maxRequestBodyBytes = 16;
     limits.maxRequestHeaderBytes = 200;
-    std::vector<http_exchange> waiting;
-    async_http_server server{context, "127.0.0.1:0", limits,
-                             [&](http_exchange exchange, const http_server_request &) {
-                                 waiting.push_back(exchange);
-                             },
-                             [](http_exchange) {}};
-    raw_caller caller{context, server.port()};
+    server_fixture fixture{limits};
+    fixture.answersAtOnce = false;
+    raw_caller caller{fixture.context, fixture.server.port()};
     caller.send(wholeRequest + wholeRequest);
-    context.run_for(20ms);
-    REQUIRE(waiting.size() == 1);
+    fixture.run();
+    REQUIRE(fixture.waiting.size() == 1);
     caller.send(std::string(400, 'x'));
     // The excess is noticed between the end of the write and its handler.
-    asio::post(context, [&] {
-        server.respond(waiting[0], {http::status::service_unavailable, 11});
-    });
-    context.restart();
-    context.poll();
-    CHECK(server.counters().responses == 1);
-    CHECK(waiting.size() == 1);
-    CHECK(server.connections() == 0);
+    asio::post(fixture.context, [&] { fixture.respond(fixture.waiting[0]); });
+    fixture.context.restart();
+    fixture.context.poll();
+    CHECK(fixture.server.counters().responses == 1);
+    CHECK(fixture.waiting.size() == 1);
+    CHECK(fixture.server.connections() == 0);
 }
 
 // Guards against requests that are delivered to the owner of a server that was destroyed.
@@ -361,12 +345,8 @@
 // side while the response to the previous request was being sent.
 TEST_CASE_FIXTURE(server_fixture, "a caller that sends no more gets all its responses")
 {
-    responseBytes = 8'000'000;
     raw_caller caller{context, server.port(), 4'096};
-    caller.send(wholeRequest + wholeRequest);
-    run();
-    REQUIRE(server.counters().requests == 1);
-    REQUIRE(server.counters().responses == 0);
+    startLongResponse(caller, wholeRequest);
     caller.finishSending();
     run();
     const auto limit = std::chrono::steady_clock::now() + 5s;
@@ -381,28 +361,18 @@
 // Guards against an exit that a peer delays by sending after the last response.
 TEST_CASE("a peer that goes on sending does not delay the end of a stop")
 {
-    asio::io_context context;
-    async_http_limits limits;
-    limits.lingerTimeout = 100ms;
-    std::optional<async_http_server> server;
-    server.emplace(
-            context, "127.0.0.1:0", limits,
-            [&](http_exchange exchange, const http_server_request &) {
-                server->respond(exchange, {http::status::service_unavailable, 11});
-            },
-            [](http_exchange) {});
-    raw_caller caller{context, server->port()};
+    server_fixture fixture{server_fixture::lingeringFor(100ms)};
+    raw_caller caller{fixture.context, fixture.server.port()};
     caller.send(wholeRequest);
-    server->finish();
+    fixture.server.finish();
     bool finished = false;
     for (int part = 0; part < 50 && !finished; ++part) {
-        context.restart();
-        context.run_for(10ms);
+        fixture.run(10ms);
         caller.send("x");
-        server->finish();
-        finished = server->finished();
+        fixture.server.finish();
+        finished = fixture.server.finished();
     }
-    REQUIRE(server->counters().responses == 1);
+    REQUIRE(fixture.server.counters().responses == 1);
     CHECK(finished);
 }
 
@@ -421,23 +391,16 @@
 // Guards against callers that get a reset at the connection limit.
 TEST_CASE("a request on a connection over the limit is answered")
 {
-    asio::io_context context;
     async_http_limits limits;
     limits.maxConnections = 1;
-    std::optional<async_http_server> server;
-    server.emplace(
-            context, "127.0.0.1:0", limits,
-            [&](http_exchange exchange, const http_server_request &) {
-                server->respond(exchange, {http::status::service_unavailable, 11});
-            },
-            [](http_exchange) {});
+    server_fixture fixture{limits};
     std::optional<raw_caller> first;
-    first.emplace(context, server->port());
-    raw_caller second{context, server->port()};
+    first.emplace(fixture.context, fixture.server.port());
+    raw_caller second{fixture.context, fixture.server.port()};
     second.send(wholeRequest);
-    context.run_for(50ms);
+    fixture.run(50ms);
     first.reset();
-    context.run_for(100ms);
+    fixture.run(100ms);
     second.receive();
     CHECK(second.status() == 503);
 }
