Check that requests over the connection limit are not delivered

The test passed with a server that serves connections over the limit, since its handler answers 503 as well. The handler now answers nothing, and the request must not reach it.

--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -394,6 +394,7 @@
     async_http_limits limits;
     limits.maxConnections = 1;
     server_fixture fixture{limits};
+    fixture.answersAtOnce = false;
     std::optional<raw_caller> first;
     first.emplace(fixture.context, fixture.server.port());
     raw_caller second{fixture.context, fixture.server.port()};
@@ -403,4 +404,5 @@
     fixture.run(100ms);
     second.receive();
     CHECK(second.status() == 503);
+    CHECK(fixture.waiting.empty()); // not delivered
 }
