Log stops that are confirmed late or not at all

The log did not show how long a run executes after its right to do so has ended: a stop call that is lost leaves no line. Two lines per run at most: stop_overdue 200 ms after the right has ended, with the number of stop calls and the rest of the lease, and stop_late when the end of that run is known. entry_silent and run_expired say how late the agent has noticed. For this stop() takes the time at which the right to execute ended.

No decision changes. Without the two lines the new test fails; the session's own tests pass unchanged but for the new argument.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -185,9 +185,12 @@
     void dequeue(const agent_run &run);
     /// Stops the runs of an entry that are missing from the complete list in its message.
     void reconcile(incarnation_id entry, const wire::DispatchOrders &message);
-    void stopRun(const run_ref &ref);
+    /// @param due When the run's right to execute ended.
+    void stopRun(const run_ref &ref, time_point due);
     void startQueued();
     void refuseOversizedRuns();
+    /// When the entry's newest echo becomes older than `entryLease`.
+    [[nodiscard]] time_point entryLeaseEnd(incarnation_id entry) const;
     /// Stops the runs whose entry has echoed no stamp that is at most `entryLease` old, and those
     /// whose time limit has passed.
     void stopRunsOfSilentEntriesAndExpiredRuns();
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -116,7 +116,8 @@
     void start(const run_ref &ref, const std::string &spec, const resources &demand,
                bool suspect = false);
     /// @brief Stops a run; repeated until the target reports its end. Unknown runs are ignored.
-    void stop(const run_ref &ref);
+    /// @param due When the run's right to execute ended; not later than now.
+    void stop(const run_ref &ref, time_point due);
     /// @brief Whether any run of the task is in the session.
     [[nodiscard]] bool holds(const batch_task &task) const;
     /// @brief Time since the start call of the run; 0 for an unknown run.
@@ -165,8 +166,10 @@
         /// When the target confirmed that the run is executing; until then, when the start call was
         /// made.
         time_point confirmed;
-        bool stopping = false;
-        time_point stopSent;              ///< when the newest stop call was made
+        std::optional<time_point> stopDue; ///< set for a run that is stopped, see stop()
+        time_point stopSent;               ///< when the newest stop call was made
+        std::uint32_t stopCalls = 0;
+        bool stopOverdue = false;         ///< `stop_overdue` was logged
         bool fromEarlierLifetime = false; ///< started before the current lifetime was known
         bool suspect = false;             ///< see start()
     };
@@ -194,6 +197,7 @@
                                bool longPoll = false);
     void sendList(bool longPoll);
     void sendStop(const run_ref &ref, session_run *run);
+    void logOverdueStops();
     void beginLifetime(const target_report &report);
     void raiseFence(std::uint64_t step);
     void handleStartReply(const pending_call &call, const target_reply &reply);
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -65,7 +65,7 @@
     }
     entry.idleInterval = idleInterval;
     for (const auto &stop : message.stops()) {
-        stopRun(fromWire(stop));
+        stopRun(fromWire(stop), m_member.now());
     }
     const bool fresh = received.age && *received.age <= m_options.limits.maxOrderAge;
     // Messages on a new connection may arrive before older ones, which are then ignored.
@@ -206,11 +206,11 @@
     }
     for (const auto &ref : unwanted) {
         m_member.log("run_not_wanted", {{"run", toText(ref)}, {"entry", toText(entry)}});
-        stopRun(ref);
+        stopRun(ref, m_member.now());
     }
 }
 
-void dispatch_agent::stopRun(const run_ref &ref)
+void dispatch_agent::stopRun(const run_ref &ref, time_point due)
 {
     const auto found = m_runs.find(ref);
     if (found == m_runs.end() || found->second.stopping) {
@@ -220,7 +220,7 @@
     if (found->second.queued) {
         endRun(ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, {});
     } else {
-        m_session.stop(ref);
+        m_session.stop(ref, due);
     }
 }
 
@@ -416,23 +416,33 @@
     }
 }
 
+time_point dispatch_agent::entryLeaseEnd(incarnation_id entry) const
+{
+    const auto *const peer = m_member.links().find(entry);
+    const auto echo = peer == nullptr ? std::nullopt : peer->newestEcho;
+    return echo.value_or(time_point{}) + m_options.limits.entryLease;
+}
+
 void dispatch_agent::stopRunsOfSilentEntriesAndExpiredRuns()
 {
-    std::vector<run_ref> runsToStop;
+    const auto now = m_member.now();
+    std::vector<std::pair<run_ref, time_point>> runsToStop;
     for (const auto &[ref, run] : m_runs) {
         if (run.stopping) {
             continue;
         }
-        if (!m_member.links().alive(run.entry, m_options.limits.entryLease)) {
-            m_member.log("entry_silent", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
-            runsToStop.push_back(ref);
-        } else if (m_member.now() >= run.expires) {
-            m_member.log("run_expired", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
-            runsToStop.push_back(ref);
+        const auto leaseEnd = entryLeaseEnd(run.entry);
+        const auto due = std::min(leaseEnd, run.expires);
+        if (now > leaseEnd || now >= run.expires) {
+            m_member.log(now > leaseEnd ? "entry_silent" : "run_expired",
+                         {{"run", toText(ref)},
+                          {"entry", toText(run.entry)},
+                          {"late_ms", std::to_string(toMilliseconds(now - due))}});
+            runsToStop.emplace_back(ref, due);
         }
     }
-    for (const auto &ref : runsToStop) {
-        stopRun(ref);
+    for (const auto &[ref, due] : runsToStop) {
+        stopRun(ref, due);
     }
 }
 
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -15,6 +15,8 @@
 constexpr std::array<std::string_view, 6> refusalNames{"none", "fenced",  "old_run",
                                                        "late", "no_room", "other"};
 constexpr std::array<std::string_view, 4> endNames{"done", "failed", "stopped", "lapsed"};
+constexpr std::array<std::string_view, 5> outcomeNames{"done", "failed", "stopped", "lost",
+                                                       "not_started"};
 
 /// First increase of the fence after a refusal; it doubles with each further refusal. Agents begin
 /// with a fence that is the Unix time in milliseconds, so one increase suffices when the clock of
@@ -24,6 +26,9 @@
 /// from a list call that is not a long poll to the next one while no reply has arrived.
 constexpr duration retryDelay = 50ms;
 constexpr duration stopRetryInterval = 100ms; ///< between stop calls for the same run
+/// Time after which a stop that is not confirmed is logged: a stop call, its timeout and the
+/// repeated call.
+constexpr duration overdueStopTime = 200ms;
 /// Maximum delay with which an outdated listing is assumed to arrive after a newer one.
 constexpr duration staleListingLimit = 1s;
 /// Number of consecutive failed list calls after which list calls no longer extend the lease. Start
@@ -175,19 +180,23 @@
                            bool suspect)
 {
     const auto now = m_clock.now();
-    m_runs.emplace(
-            ref,
-            session_run{demand, run_state::starting, m_fence, now, now, false, {}, false, suspect});
+    session_run run;
+    run.demand = demand;
+    run.startFence = m_fence;
+    run.started = now;
+    run.confirmed = now;
+    run.suspect = suspect;
+    m_runs.emplace(ref, run);
     m_committed += demand;
     m_calls.emplace_back(start_run{addPendingCall(call_kind::start, ref, m_limits.startTimeout),
                                    ref, spec, extendLease(), m_fence});
 }
 
-void target_session::stop(const run_ref &ref)
+void target_session::stop(const run_ref &ref, time_point due)
 {
     const auto found = m_runs.find(ref);
-    if (found != m_runs.end() && !found->second.stopping) {
-        found->second.stopping = true;
+    if (found != m_runs.end() && !found->second.stopDue) {
+        found->second.stopDue = due;
         if (found->second.state == run_state::running) {
             sendStop(ref, &found->second);
         }
@@ -198,6 +207,7 @@
 {
     if (run != nullptr) {
         run->stopSent = m_clock.now();
+        ++run->stopCalls;
     }
     m_calls.emplace_back(
             stop_run{addPendingCall(call_kind::stop, ref, m_limits.callTimeout), ref, m_fence});
@@ -290,14 +300,32 @@
         raiseFence(1);
     }
     for (auto &[ref, run] : m_runs) {
-        if (run.stopping && run.state == run_state::running &&
+        if (run.stopDue && run.state == run_state::running &&
             now - run.stopSent >= stopRetryInterval) {
             sendStop(ref, &run);
         }
     }
+    logOverdueStops();
     markExpiredRunsLost();
 }
 
+void target_session::logOverdueStops()
+{
+    const auto now = m_clock.now();
+    for (auto &[ref, run] : m_runs) {
+        if (run.stopDue && !run.stopOverdue && now - *run.stopDue >= overdueStopTime) {
+            run.stopOverdue = true;
+            log("stop_overdue",
+                {{"run", toText(ref)},
+                 {"target", m_target->lifetime.id},
+                 {"after_ms", std::to_string(toSignedMilliseconds(now - *run.stopDue))},
+                 {"stop_calls", std::to_string(run.stopCalls)},
+                 {"confirmed", run.state == run_state::running ? "true" : "false"},
+                 {"lease_left_ms", std::to_string(m_leaseEnd - targetClock())}});
+        }
+    }
+}
+
 void target_session::markExpiredRunsLost()
 {
     const bool listingTooOld =
@@ -354,7 +382,7 @@
     case call_status::accepted:
         run.state = run_state::running;
         run.confirmed = m_clock.now();
-        if (run.stopping) {
+        if (run.stopDue) {
             sendStop(call.ref, &run);
         }
         break;
@@ -535,10 +563,18 @@
     if (found == m_runs.end()) {
         return;
     }
-    m_committed -= found->second.demand;
+    const auto &run = found->second;
+    if (run.stopOverdue) {
+        log("stop_late",
+            {{"run", toText(ref)},
+             {"target", m_target->lifetime.id},
+             {"after_ms", std::to_string(toSignedMilliseconds(m_clock.now() - *run.stopDue))},
+             {"stop_calls", std::to_string(run.stopCalls)},
+             {"outcome", std::string{outcomeNames[static_cast<std::size_t>(result)]}}});
+    }
+    m_committed -= run.demand;
     m_recentlyEnded[ref] = m_clock.now();
-    m_outcomes.push_back(
-            {ref, result, refusal, m_clock.now() - found->second.started, crashPossible});
+    m_outcomes.push_back({ref, result, refusal, m_clock.now() - run.started, crashPossible});
     m_runs.erase(found);
 }
 
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -62,6 +62,9 @@
         for (auto &crash : session.takeCrashes()) {
             crashes.push_back(std::move(crash));
         }
+        for (auto &event : session.takeEvents()) {
+            events.push_back(std::move(event));
+        }
     }
 
     void execute(const target_call &call)
@@ -73,7 +76,7 @@
             session.handle({header.id, call_status::unanswered, call_refusal::none, {}, {}});
             return;
         }
-        if (silent) {
+        if (silent || (loseStops && std::holds_alternative<stop_run>(call))) {
             session.handle({header.id, call_status::unanswered, call_refusal::none, {}, {}});
             return;
         }
@@ -92,10 +95,12 @@
     target_session session;
     fake_target target;
     bool loseStarts = false; ///< start calls are not executed and time out
+    bool loseStops = false;  ///< stop calls are not executed and time out
     bool silent = false;     ///< no call is executed and all time out
     std::deque<target_call> lostCalls;
     std::vector<run_outcome> outcomes;
     std::vector<std::vector<batch_task>> crashes;
+    std::vector<session_event> events;
     std::vector<run_ref> started;
 };
 
@@ -382,19 +387,42 @@
     fixture.runTime = 60s;
     fixture.session.start(refOf(0), "spec", demand);
     fixture.deliver();
-    fixture.session.stop(refOf(0));
+    fixture.session.stop(refOf(0), fixture.time.now());
     CHECK(fixture.session.committed() == demand);
     fixture.pass(50ms);
     CHECK(fixture.ended(refOf(0), run_outcome::kind::stopped));
 }
 
+// Guards against a run that outlives its right to execute without a trace in the log.
+TEST_CASE("a stop that is not confirmed in time is logged once, and so is its confirmation")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(50ms);
+    fixture.loseStops = true;
+    fixture.session.stop(refOf(0), fixture.time.now());
+    fixture.pass(500ms);
+    const auto count = [&](std::string_view name) {
+        return std::ranges::count(fixture.events, name, &session_event::first);
+    };
+    CHECK(count("stop_overdue") == 1);
+    CHECK(count("stop_late") == 0);
+    fixture.loseStops = false;
+    fixture.pass(500ms);
+    CHECK(fixture.ended(refOf(0), run_outcome::kind::stopped));
+    CHECK(count("stop_overdue") == 1);
+    CHECK(count("stop_late") == 1);
+}
+
 TEST_CASE("a start of a run that was stopped before is refused as old")
 {
     session_fixture fixture;
     fixture.pass(50ms);
     fixture.session.start(refOf(0), "spec", demand);
     fixture.deliver();
-    fixture.session.stop(refOf(0));
+    fixture.session.stop(refOf(0), fixture.time.now());
     fixture.pass(50ms);
     fixture.outcomes.clear();
     fixture.session.start(refOf(0), "spec", demand);
