Model stops that are lost or late, and delayed list calls

run_lease.pml assumed that a stop by name is carried out at once. A stop may now be lost or be executed at any later time, and so may the raise of the fence that invalidates a start call without a reply; a list call may be executed long after it was made. The specification holds when the lease ends at most one lease after the right to execute has ended. RELATIVE_LEASE covers the delayed list call: its lease end is absolute.

--- a/model/run_lease.pml
+++ b/model/run_lease.pml
@@ -7,7 +7,7 @@
  * resubmits its job to another entry. In each step every message and call may be lost. A heartbeat
  * of the entry may be delayed in a queue, where its age grows. Agent 1 may freeze, or end and be
  * replaced by a successor at the same target. A start call may be executed after its caller has
- * stopped waiting for the reply.
+ * stopped waiting for the reply, a list call long after it was made, and a stop late or never.
  *
  * Ages saturate one above the limit that they are compared with. Target 1 never restarts: a start
  * call that is executed after a restart of the target is not modelled; docs/platform.md describes
@@ -46,7 +46,10 @@
 byte orderAge; /* age of the stamp that it echoes */
 bool taskRepeated; /* entry 1 or another entry has started the task on target 2 */
 
-bool runHeld; /* agent 1 has the run in its table as started */
+bool runHeld; /* agent 1 has the run in its table as started, and the run may execute */
+bool stopDue; /* the run may not execute any longer, and agent 1 has no proof that it has ended */
+byte stopAge; /* steps since the run may not execute any longer */
+byte listLeaseLeft; /* steps until the lease end in a delayed list call; 0: no such call */
 bool callPending; /* the start call has no reply and has not been executed yet */
 byte callFence; /* fence in the start call */
 byte callLeaseLeft; /* steps until the lease end in the start call */
@@ -54,6 +57,7 @@
 byte agentFence = 1; /* fence that the agent at target 1 puts into its next start call */
 bool runRestarted; /* the agent has started the task again under a raised fence */
 bool successor; /* another agent has replaced the first one at target 1 */
+byte newLease; /* lease in the list call that the agent makes */
 bool cleared = true; /* no run that the agent does not know can execute on target 1 */
 
 inline increaseAge(age, limit) {
@@ -89,7 +93,7 @@
 }
 
 inline passTime() {
-    increaseAge(echoAge, ENTRY_LEASE);
+    increaseAge(echoAge, ENTRY_LEASE + TARGET_LEASE - 1);
     increaseAge(stampAge, RUN_LOSS_TIMEOUT);
     increaseAge(agentSilence, RUN_LOSS_TIMEOUT);
     if
@@ -104,7 +108,12 @@
     :: !entryAlive -> increaseAge(sinceEntryLost, RESUBMIT_DELAY);
     :: else -> skip;
     fi;
+    if
+    :: stopDue -> increaseAge(stopAge, TARGET_LEASE - 1);
+    :: else -> skip;
+    fi;
     decreaseTimeLeft(callLeaseLeft);
+    decreaseTimeLeft(listLeaseLeft);
 #ifndef MUTANT_NO_TARGET_LEASE /* mutant: the target does not stop a run whose lease has ended */
     decreaseTimeLeft(leaseLeft);
     if
@@ -142,10 +151,8 @@
     if
     :: agentAlive && !agentFrozen && cleared && echoAge >= ENTRY_LEASE && runHeld ->
         runHeld = false;
-        callPending = false; /* the raised fence invalidates the start call */
-        targetFence = agentFence + 1;
-        agentFence = targetFence;
-        executing1 = false;
+        stopDue = true;
+        stopAge = echoAge - ENTRY_LEASE;
     :: else -> skip;
     fi
 #else
@@ -199,6 +206,31 @@
     fi
 }
 
+/* Target 1 executes a list call. A lease end never shortens the lease. */
+inline executeList(newLeaseLeft) {
+    if
+    :: newLeaseLeft > leaseLeft && executing1 -> leaseLeft = newLeaseLeft;
+    :: else -> skip;
+    fi
+}
+
+/* The agent makes a list call, or starts another run, and so extends the lease of all runs. */
+inline sendList() {
+    if
+#ifdef MUTANT_UNBOUNDED_LEASE /* mutant: the lease is extended while the run is not stopped */
+    :: stopDue -> newLease = TARGET_LEASE;
+#else
+    :: stopDue -> newLease = TARGET_LEASE - stopAge;
+#endif
+    :: else -> newLease = TARGET_LEASE;
+    fi;
+    if
+    :: executeList(newLease);
+    :: listLeaseLeft = newLease;
+    fi;
+    newLease = 0;
+}
+
 inline agentActs() {
     if
     :: agentAlive && !agentFrozen && cleared && runHeld && callPending && !runRestarted ->
@@ -218,13 +250,25 @@
         targetFence = 5;
         executing1 = false;
         cleared = true;
-    :: agentAlive && !agentFrozen && cleared && executing1 && runHeld -> leaseLeft = TARGET_LEASE;
+    :: agentAlive && !agentFrozen && cleared && stopDue ->
+        /* The stop is executed, the raised fence invalidates the start call, and the agent knows
+         * both. While this step is not taken, the calls are lost. */
+        agentFence++;
+        targetFence = agentFence;
+        callPending = false;
+        executing1 = false;
+        stopDue = false;
+    :: agentAlive && !agentFrozen && cleared && executing1 && (runHeld || stopDue) ->
+        sendList();
+#ifdef MUTANT_LEASE_BEFORE_CHECK /* the agent extends the lease before it looks for silent entries */
+    :: agentFrozen && executing1 && runHeld -> agentFrozen = false; leaseLeft = TARGET_LEASE;
+#endif
 #ifdef MUTANT_SUCCESSOR_EXTENDS /* a successor extends the lease of a run it does not know */
     :: agentAlive && successor && executing1 -> leaseLeft = TARGET_LEASE; cleared = true;
 #endif
     :: agentAlive && !agentFrozen -> agentFrozen = true;
     :: agentFrozen -> agentFrozen = false;
-    :: agentAlive -> agentAlive = false; runHeld = false;
+    :: agentAlive -> agentAlive = false; runHeld = false; stopDue = false;
     :: !agentAlive -> agentAlive = true; agentFrozen = false; successor = true; cleared = false;
     :: skip;
     fi;
@@ -232,9 +276,57 @@
     :: callPending -> callPending = false; executeStart(callFence, callLeaseLeft);
     :: skip;
     fi;
+    if
+    :: listLeaseLeft > 0 ->
+#ifdef MUTANT_RELATIVE_LEASE /* the lease begins when the list call is executed */
+        listLeaseLeft = TARGET_LEASE;
+#endif
+        executeList(listLeaseLeft);
+        listLeaseLeft = 0;
+    :: skip;
+    fi;
     assert(!(executing1 && executing2)) /* two runs of the task never execute at the same time */
 }
 
+/* Resets variables that no step can read before it sets them, which reduces the number of states. */
+inline resetUnused() {
+    if
+    :: !heartbeatQueued -> heartbeatAge = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: !orderQueued -> orderAge = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: !callPending -> callFence = 0; callLeaseLeft = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: !executing1 -> leaseLeft = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: !stopDue -> stopAge = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: !entryAlive -> stampAge = 0; agentSilence = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: taskRepeated -> sinceEntryLost = 0; agentSilence = 0;
+    :: else -> skip;
+    fi;
+    if
+    :: orderSent && !orderQueued && !runHeld -> /* no run of the entry is left at agent 1 */
+        echoAge = 0;
+        heartbeatQueued = false;
+        heartbeatAge = 0;
+    :: else -> skip;
+    fi
+}
+
 active proctype fleet() {
     do
     :: atomic {
@@ -242,6 +334,7 @@
         messagesArrive();
         agentActs();
         passTime();
+        resetUnused();
     }
     od
 }
