--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -34,6 +34,8 @@
 void dispatch_agent::receive(const wire::Envelope &envelope)
 {
     const auto received = m_member.receive(envelope);
+    // After the link was updated: the message may prove that its entry is not silent.
+    stopRunsOfSilentEntriesAndExpiredRuns();
     if (received.accepted && envelope.payload_case() == wire::Envelope::kDispatchOrders) {
         handleOrdersMessage(incarnation_id{envelope.sender()}, envelope.dispatch_orders(),
                             received);
@@ -65,7 +67,7 @@
     }
     entry.idleInterval = idleInterval;
     for (const auto &stop : message.stops()) {
-        stopRun(fromWire(stop));
+        stopRun(fromWire(stop), m_member.now());
     }
     const bool fresh = received.age && *received.age <= m_options.limits.maxOrderAge;
     // Messages on a new connection may arrive before older ones, which are then ignored.
@@ -206,11 +208,11 @@
     }
     for (const auto &ref : unwanted) {
         m_member.log("run_not_wanted", {{"run", toText(ref)}, {"entry", toText(entry)}});
-        stopRun(ref);
+        stopRun(ref, m_member.now());
     }
 }
 
-void dispatch_agent::stopRun(const run_ref &ref)
+void dispatch_agent::stopRun(const run_ref &ref, time_point due)
 {
     const auto found = m_runs.find(ref);
     if (found == m_runs.end() || found->second.stopping) {
@@ -220,7 +222,7 @@
     if (found->second.queued) {
         endRun(ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, {});
     } else {
-        m_session.stop(ref);
+        m_session.stop(ref, due);
     }
 }
 
@@ -282,6 +284,7 @@
 
 void dispatch_agent::handleTargetReport(const target_report &report)
 {
+    stopRunsOfSilentEntriesAndExpiredRuns();
     m_session.handleReport(report);
     takeSessionResults();
     startQueued();
@@ -294,6 +297,7 @@
 
 void dispatch_agent::handleCallResult(const target_reply &reply)
 {
+    stopRunsOfSilentEntriesAndExpiredRuns();
     m_session.handle(reply);
     m_session.tick(); // makes the next list call or raises the fence without a delay
     takeSessionResults();
@@ -416,32 +420,43 @@
     }
 }
 
+time_point dispatch_agent::entryLeaseEnd(incarnation_id entry) const
+{
+    const auto *const peer = m_member.links().find(entry);
+    const auto echo = peer == nullptr ? std::nullopt : peer->newestEcho;
+    return echo.value_or(time_point{}) + m_options.limits.entryLease;
+}
+
 void dispatch_agent::stopRunsOfSilentEntriesAndExpiredRuns()
 {
-    std::vector<run_ref> runsToStop;
+    const auto now = m_member.now();
+    std::vector<std::pair<run_ref, time_point>> runsToStop;
     for (const auto &[ref, run] : m_runs) {
         if (run.stopping) {
             continue;
         }
-        if (!m_member.links().alive(run.entry, m_options.limits.entryLease)) {
-            m_member.log("entry_silent", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
-            runsToStop.push_back(ref);
-        } else if (m_member.now() >= run.expires) {
-            m_member.log("run_expired", {{"run", toText(ref)}, {"entry", toText(run.entry)}});
-            runsToStop.push_back(ref);
+        const auto leaseEnd = entryLeaseEnd(run.entry);
+        const auto due = std::min(leaseEnd, run.expires);
+        if (now > leaseEnd || now >= run.expires) {
+            m_member.log(now > leaseEnd ? "entry_silent" : "run_expired",
+                         {{"run", toText(ref)},
+                          {"entry", toText(run.entry)},
+                          {"late_ms", std::to_string(toMilliseconds(now - due))}});
+            runsToStop.emplace_back(ref, due);
         }
     }
-    for (const auto &ref : runsToStop) {
-        stopRun(ref);
+    for (const auto &[ref, due] : runsToStop) {
+        stopRun(ref, due);
     }
+    m_session.confirmRightsUntil(now);
 }
 
 void dispatch_agent::tick()
 {
+    stopRunsOfSilentEntriesAndExpiredRuns();
     m_member.tick();
     m_session.tick();
     takeSessionResults();
-    stopRunsOfSilentEntriesAndExpiredRuns();
     startQueued();
     // Adds a state for each new entry, so that reports are sent to it.
     for (const auto *const peer : m_member.links().peers(wire::ROLE_ENTRY)) {
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -15,6 +15,8 @@
 constexpr std::array<std::string_view, 6> refusalNames{"none", "fenced",  "old_run",
                                                        "late", "no_room", "other"};
 constexpr std::array<std::string_view, 4> endNames{"done", "failed", "stopped", "lapsed"};
+constexpr std::array<std::string_view, 5> outcomeNames{"done", "failed", "stopped", "lost",
+                                                       "not_started"};
 
 /// First increase of the fence after a refusal; it doubles with each further refusal. Agents begin
 /// with a fence that is the Unix time in milliseconds, so one increase suffices when the clock of
@@ -24,6 +26,9 @@
 /// from a list call that is not a long poll to the next one while no reply has arrived.
 constexpr duration retryDelay = 50ms;
 constexpr duration stopRetryInterval = 100ms; ///< between stop calls for the same run
+/// Time after which a stop that is not confirmed is logged: a stop call, its timeout and the
+/// repeated call.
+constexpr duration overdueStopTime = 200ms;
 /// Maximum delay with which an outdated listing is assumed to arrive after a newer one.
 constexpr duration staleListingLimit = 1s;
 /// Number of consecutive failed list calls after which list calls no longer extend the lease. Start
@@ -160,7 +165,8 @@
     const auto now = m_clock.now();
     return m_target && m_cleared && !m_shutdownAnnounced &&
            m_target->phase == target_phase::serving && now >= m_unhealthyUntil && m_lastListing &&
-           now - *m_lastListing <= m_limits.maxListingAge;
+           now - *m_lastListing <= m_limits.maxListingAge &&
+           now - leaseBase() <= m_limits.lease - m_limits.minStartLease;
 }
 
 call_header target_session::addPendingCall(call_kind kind, const run_ref &ref, duration timeout,
@@ -175,19 +181,28 @@
                            bool suspect)
 {
     const auto now = m_clock.now();
-    m_runs.emplace(
-            ref,
-            session_run{demand, run_state::starting, m_fence, now, now, false, {}, false, suspect});
+    session_run run;
+    run.demand = demand;
+    run.startFence = m_fence;
+    run.started = now;
+    run.confirmed = now;
+    run.suspect = suspect;
+    m_runs.emplace(ref, run);
     m_committed += demand;
     m_calls.emplace_back(start_run{addPendingCall(call_kind::start, ref, m_limits.startTimeout),
                                    ref, spec, extendLease(), m_fence});
 }
 
-void target_session::stop(const run_ref &ref)
+void target_session::confirmRightsUntil(time_point time)
+{
+    m_rightsConfirmed = std::max(m_rightsConfirmed, time);
+}
+
+void target_session::stop(const run_ref &ref, time_point due)
 {
     const auto found = m_runs.find(ref);
-    if (found != m_runs.end() && !found->second.stopping) {
-        found->second.stopping = true;
+    if (found != m_runs.end() && !found->second.stopDue) {
+        found->second.stopDue = due;
         if (found->second.state == run_state::running) {
             sendStop(ref, &found->second);
         }
@@ -198,6 +213,7 @@
 {
     if (run != nullptr) {
         run->stopSent = m_clock.now();
+        ++run->stopCalls;
     }
     m_calls.emplace_back(
             stop_run{addPendingCall(call_kind::stop, ref, m_limits.callTimeout), ref, m_fence});
@@ -215,10 +231,24 @@
     return found == m_runs.end() ? duration{} : m_clock.now() - found->second.started;
 }
 
-std::int64_t target_session::targetClock() const
+std::int64_t target_session::targetClockAt(time_point time) const
 {
-    const auto elapsed = toSignedMilliseconds(m_clock.now() - m_clockSampleTime);
-    return m_clockSample.value_or(0) + elapsed;
+    const auto elapsed = toSignedMilliseconds(time - m_clockSampleTime);
+    const auto slowest =
+            elapsed > 0 ? elapsed * (perMille - m_limits.maxClockLagPerMille) / perMille : elapsed;
+    return m_clockSample.value_or(0) + slowest;
+}
+
+time_point target_session::leaseBase() const
+{
+    auto base = m_rightsConfirmed;
+    for (const auto &[ref, run] : m_runs) {
+        base = std::min(base, run.stopDue.value_or(base));
+    }
+    for (const auto &[ref, run] : m_foreignStops) {
+        base = std::min(base, run.found);
+    }
+    return base;
 }
 
 void target_session::recordClock(std::int64_t clockMs)
@@ -229,16 +259,14 @@
 
 std::int64_t target_session::extendLease()
 {
-    const auto until = targetClock() + toSignedMilliseconds(m_limits.lease);
+    const auto until = targetClockAt(leaseBase()) + toSignedMilliseconds(m_limits.lease);
     m_leaseEnd = std::max(m_leaseEnd, until);
     return until;
 }
 
 bool target_session::leaseCertainlyExpired() const
 {
-    const auto elapsed = toSignedMilliseconds(m_clock.now() - m_clockSampleTime);
-    const auto slowest = elapsed * (perMille - m_limits.maxClockLagPerMille) / perMille;
-    return m_clockSample.value_or(0) + slowest >
+    return targetClockAt(m_clock.now()) >
            m_leaseEnd + toSignedMilliseconds(m_limits.leaseExpiryMargin);
 }
 
@@ -260,7 +288,10 @@
     // List calls do not extend the lease of a target that does not respond to them. Once it has
     // expired, the runs of the target are known to have ended.
     if (m_clockSample && m_cleared && m_listFailures < maxListFailures) {
-        call.leaseEndMs = extendLease();
+        const auto until = extendLease();
+        if (until > targetClockAt(m_clock.now())) {
+            call.leaseEndMs = until;
+        }
     }
     m_calls.emplace_back(std::move(call));
 }
@@ -290,14 +321,32 @@
         raiseFence(1);
     }
     for (auto &[ref, run] : m_runs) {
-        if (run.stopping && run.state == run_state::running &&
+        if (run.stopDue && run.state == run_state::running &&
             now - run.stopSent >= stopRetryInterval) {
             sendStop(ref, &run);
         }
     }
+    logOverdueStops();
     markExpiredRunsLost();
 }
 
+void target_session::logOverdueStops()
+{
+    const auto now = m_clock.now();
+    for (auto &[ref, run] : m_runs) {
+        if (run.stopDue && !run.stopOverdue && now - *run.stopDue >= overdueStopTime) {
+            run.stopOverdue = true;
+            log("stop_overdue",
+                {{"run", toText(ref)},
+                 {"target", m_target->lifetime.id},
+                 {"after_ms", std::to_string(toSignedMilliseconds(now - *run.stopDue))},
+                 {"stop_calls", std::to_string(run.stopCalls)},
+                 {"confirmed", run.state == run_state::running ? "true" : "false"},
+                 {"lease_left_ms", std::to_string(m_leaseEnd - targetClockAt(now))}});
+        }
+    }
+}
+
 void target_session::markExpiredRunsLost()
 {
     const bool listingTooOld =
@@ -354,7 +403,7 @@
     case call_status::accepted:
         run.state = run_state::running;
         run.confirmed = m_clock.now();
-        if (run.stopping) {
+        if (run.stopDue) {
             sendStop(call.ref, &run);
         }
         break;
@@ -516,9 +565,10 @@
         if (!foreign(ref)) {
             continue;
         }
-        auto &sent = m_foreignStops[ref];
-        if (now - sent >= stopRetryInterval) {
-            sent = now;
+        const auto [position, added] = m_foreignStops.try_emplace(ref, foreign_run{now, {}});
+        auto &stop = position->second;
+        if (added || now - stop.stopSent >= stopRetryInterval) {
+            stop.stopSent = now;
             log("foreign_run_stopped", {{"run", toText(ref)}, {"target", m_target->lifetime.id}});
             sendStop(ref, nullptr);
         }
@@ -535,10 +585,18 @@
     if (found == m_runs.end()) {
         return;
     }
-    m_committed -= found->second.demand;
+    const auto &run = found->second;
+    if (run.stopOverdue) {
+        log("stop_late",
+            {{"run", toText(ref)},
+             {"target", m_target->lifetime.id},
+             {"after_ms", std::to_string(toSignedMilliseconds(m_clock.now() - *run.stopDue))},
+             {"stop_calls", std::to_string(run.stopCalls)},
+             {"outcome", std::string{outcomeNames[static_cast<std::size_t>(result)]}}});
+    }
+    m_committed -= run.demand;
     m_recentlyEnded[ref] = m_clock.now();
-    m_outcomes.push_back(
-            {ref, result, refusal, m_clock.now() - found->second.started, crashPossible});
+    m_outcomes.push_back({ref, result, refusal, m_clock.now() - run.started, crashPossible});
     m_runs.erase(found);
 }
 
