Log reports and listings of the target that are ignored, and own runs beside foreign ones

A report or listing of another lifetime was dropped without a line, so a target whose reports are all ignored could not be told from one that sends none. The line names both lifetimes and the reason. It is written at most once a second and has the number of those ignored since, because a report that is ignored usually repeats. foreign_run_stopped now names the agent's own run of the same task and the time since the lifetime became known.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -214,6 +215,10 @@
     /// Returns the lease end for a new call, and records it as sent.
     [[nodiscard]] std::int64_t extendLease();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
+    /// Logs that a report or listing of `lifetime` is ignored. Events within a short interval are
+    /// only counted; the next one has their number.
+    void logIgnored(std::string name, const target_lifetime &lifetime, std::string_view reason,
+                    std::vector<std::pair<std::string, std::string>> fields);
 
     const clock &m_clock;
     target_session_limits m_limits;
@@ -247,6 +252,8 @@
     /// listing contains has been started by the next lifetime.
     std::map<run_ref, interrupted_run> m_crashed;
     std::vector<std::vector<batch_task>> m_crashes;
+    std::optional<time_point> m_lastIgnoredLog;
+    std::uint64_t m_ignored = 0; ///< reports and listings ignored since the newest log event
     std::vector<target_call> m_calls;
     std::vector<run_outcome> m_outcomes;
     std::vector<session_event> m_events;
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -31,6 +31,8 @@
 /// target_session_limits::maxListingAge.
 constexpr std::uint32_t maxListFailures = 2;
 constexpr std::int64_t perMille = 1'000;
+/// Minimum interval between log events for ignored reports and listings.
+constexpr duration ignoredLogInterval = 1s;
 
 std::int64_t toSignedMilliseconds(duration time)
 {
@@ -67,6 +69,10 @@
         const bool sameLifetime = report.lifetime == m_target->lifetime;
         const bool outdated = sameLifetime && report.sequence <= m_target->sequence;
         if (outdated || report.lifetime.startedMs < m_target->lifetime.startedMs) {
+            logIgnored("report_ignored", report.lifetime, outdated ? "outdated" : "earlier_start",
+                       {{"sequence", std::to_string(report.sequence)},
+                        {"kept_sequence", std::to_string(m_target->sequence)},
+                        {"address", report.address}});
             return false;
         }
         if (sameLifetime) {
@@ -427,6 +433,11 @@
             restarted.sequence = 0;
             restarted.clockMs.reset();
             beginLifetime(restarted);
+        } else {
+            logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs},
+                       "earlier_start",
+                       {{"running", std::to_string(listing.running.size())},
+                        {"ended", std::to_string(listing.ended.size())}});
         }
         return;
     }
@@ -519,7 +530,15 @@
         auto &sent = m_foreignStops[ref];
         if (now - sent >= stopRetryInterval) {
             sent = now;
-            log("foreign_run_stopped", {{"run", toText(ref)}, {"target", m_target->lifetime.id}});
+            const auto own = m_runs.lower_bound(run_ref{ref.task, 0});
+            const bool hasOwn = own != m_runs.end() && own->first.task == ref.task;
+            log("foreign_run_stopped",
+                {{"run", toText(ref)},
+                 {"target", m_target->lifetime.id},
+                 {"own_run", hasOwn ? toText(own->first) : "none"},
+                 {"cleared", m_cleared ? "true" : "false"},
+                 {"lifetime_known_ms",
+                  std::to_string(toSignedMilliseconds(now - m_lifetimeKnownSince))}});
             sendStop(ref, nullptr);
         }
     }
@@ -542,6 +561,26 @@
     m_runs.erase(found);
 }
 
+void target_session::logIgnored(std::string name, const target_lifetime &lifetime,
+                                std::string_view reason,
+                                std::vector<std::pair<std::string, std::string>> fields)
+{
+    const auto now = m_clock.now();
+    ++m_ignored;
+    if (m_lastIgnoredLog && now - *m_lastIgnoredLog < ignoredLogInterval) {
+        return;
+    }
+    m_lastIgnoredLog = now;
+    fields.insert(fields.begin(),
+                  {{"target", lifetime.id},
+                   {"started_ms", std::to_string(lifetime.startedMs)},
+                   {"kept", m_target->lifetime.id},
+                   {"kept_started_ms", std::to_string(m_target->lifetime.startedMs)},
+                   {"reason", std::string{reason}},
+                   {"ignored", std::to_string(std::exchange(m_ignored, 0))}});
+    log(std::move(name), std::move(fields));
+}
+
 void target_session::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
 {
     m_events.emplace_back(std::move(name), std::move(fields));
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -538,3 +538,22 @@
     REQUIRE(fixture.crashes.size() == 1);
     CHECK(fixture.crashes[0] == std::vector{refOf(0).task});
 }
+
+// Guards against reports that are ignored without a trace, and against a log that they flood.
+TEST_CASE("ignored reports are logged at most once a second, with their number")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    const auto old = fixture.target.report(fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    (void)fixture.session.takeEvents();
+    for (int count = 0; count < 150; ++count) {
+        fixture.time.advance(10ms);
+        CHECK_FALSE(fixture.session.handleReport(old));
+    }
+    const auto events = fixture.session.takeEvents();
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].first == "report_ignored");
+    CHECK(std::ranges::find(events[1].second, std::pair<std::string, std::string>{
+                                                      "ignored", "100"}) != events[1].second.end());
+}
