Replace the target only when the lifetime in a report has answered a call

What callers could see: a machine whose target is never used again until its agent restarts. One status report of another writer, of another id with a very large start time, replaced the real target for good: the agent called the address in the report, and all reports of the real target were ignored as earlier, yet acknowledged with 200. A very large sequence number under the real id did the same to its reports.

Class: an unauthenticated message overrides what the agent knows from its own calls, and the order of numbers in such messages makes that permanent.

A report of another lifetime or address now only makes it a candidate, which is called at once with the fence in use and without extending a lease. It becomes the target when it answers as the lifetime that it names, or, if its start time is not lower, when the target has not answered for 600 ms. The call carries no new fence, so it has no effect on a target that it reaches by mistake. A lifetime that has never answered is no proof that its predecessor has crashed. Sequence numbers that jump, or come with another service, are used only when no report was used for 2 s. Readings of the target's clock are bounded, so that sums do not overflow.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -94,8 +94,9 @@
 
     /// @brief Handles a message of another process.
     void receive(const wire::Envelope &envelope);
-    /// @brief Handles a status report of the target. Outdated reports are ignored.
-    void handleTargetReport(const target_report &report);
+    /// @brief Handles a status report of the target.
+    /// @return Whether the report is used, see target_session::handleReport().
+    bool handleTargetReport(const target_report &report);
     /// @brief Handles the target's announcement that it shuts down.
     void handleTargetShutdown(const std::string &targetId);
     /// @brief Handles the reply to a call to the target, or its timeout.
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -45,6 +45,9 @@
     duration maxListingAge = std::chrono::milliseconds{600};
     /// Maximum lag of the target's clock behind the agent's, in thousandths of the elapsed time.
     std::int64_t maxClockLagPerMille = 20;
+    /// Time since the newest used report of a lifetime after which a report of it is used whatever
+    /// its sequence number and service are. Targets report about once a second.
+    duration maxReportAge = std::chrono::seconds{2};
     /// Safety margin after the end of a lease before its runs are reported as lost.
     duration leaseExpiryMargin = std::chrono::milliseconds{60};
     /// Time without starts after the target has reported that it is unhealthy.
@@ -90,9 +93,15 @@
 
     // Target
 
-    /// @brief Handles a status report. Reports of earlier lifetimes and those that arrive after a
-    ///        newer one are ignored.
-    /// @return Whether the report was used.
+    /// @brief Handles a status report.
+    ///
+    /// Reports may be delayed or come from another writer. One that arrives after a newer one of
+    /// the current lifetime is ignored. One of another lifetime or address only makes that lifetime
+    /// a candidate: it becomes the target when its address answers a list call as that lifetime. If
+    /// the current target does not answer, the candidate becomes the target at once, unless its
+    /// start time is lower.
+    /// @return Whether the report is used, now or when the candidate has answered. False for a
+    ///         lower start time, which usually is that of a delayed report.
     bool handleReport(const target_report &report);
     /// @brief Handles the target's announcement that it shuts down; another target's is ignored.
     void handleShutdownAnnouncement(const std::string &targetId);
@@ -196,7 +205,18 @@
         time_point started;
     };
 
-    enum class call_kind : std::uint8_t { start, stop, list };
+    enum class call_kind : std::uint8_t { start, stop, list, candidate };
+
+    /// A reported lifetime that has not answered a call yet, see handleReport().
+    struct candidate_target
+    {
+        target_report report;
+        time_point since;            ///< arrival of its first report
+        std::optional<call_id> call; ///< pending list call; at most one is made at a time
+        time_point nextCall;
+        bool failed = false;               ///< a call had no answer
+        std::optional<target_report> next; ///< newest report of a further lifetime during a call
+    };
 
     struct pending_call
     {
@@ -212,7 +232,14 @@
                                bool longPoll = false);
     void sendList(bool longPoll);
     void sendStop(const run_ref &ref, session_run *run);
+    bool considerCandidate(const target_report &report);
+    bool adoptCandidateOfSilentTarget();
+    void callCandidate();
+    void handleCandidateReply(const pending_call &call, const target_reply &reply);
+    void dropFailedCandidate();
+    void dropCandidate(std::string_view reason);
     void beginLifetime(const target_report &report);
+    void recordInterruptedRuns(const target_lifetime &next);
     void raiseFence(std::uint64_t step);
     void handleStartReply(const pending_call &call, const target_reply &reply);
     void handleListReply(const pending_call &call, const target_reply &reply);
@@ -235,6 +262,7 @@
     /// Returns the lease end for a new call, and records it as sent.
     [[nodiscard]] std::int64_t extendLease();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
+    void logIgnoredReport(const target_report &report, std::string_view reason);
     /// Logs that a report or listing of `lifetime` is ignored. Events within a short interval are
     /// only counted; the next one has their number.
     void logIgnored(std::string name, const target_lifetime &lifetime, std::string_view reason,
@@ -243,7 +271,9 @@
     const clock &m_clock;
     target_session_limits m_limits;
     std::optional<target_report> m_target;
-    bool m_shutdownAnnounced = false; ///< the target has announced its shutdown
+    std::optional<candidate_target> m_candidate;
+    std::optional<time_point> m_lastReport; ///< arrival of the newest used report of the lifetime
+    bool m_shutdownAnnounced = false;       ///< the target has announced its shutdown
     bool m_cleared = false;
     std::uint64_t m_fence;
     std::uint64_t m_fenceStep = 0; ///< last increase after a refusal; doubles with each one
@@ -262,6 +292,8 @@
     std::int64_t m_leaseEnd = 0;     ///< latest lease end that was sent, on the target's clock
     time_point m_lifetimeKnownSince; ///< when the current lifetime of the target became known
     std::optional<time_point> m_lastListing; ///< arrival of the newest reply to a list call
+    time_point m_newestAnsweredCall;         ///< when the newest list call with a reply was made
+    time_point m_lastStart;                  ///< when the newest start call was made
     time_point m_nextList;                   ///< earliest time of the next list call
     time_point m_unhealthyUntil;
     std::uint32_t m_listFailures = 0; ///< consecutive failed list calls
@@ -271,6 +303,7 @@
     /// Runs of the crashed lifetime, until the first listing of the next one. A run that this
     /// listing contains has been started by the next lifetime.
     std::map<run_ref, interrupted_run> m_crashed;
+    target_lifetime m_crashedLifetime; ///< that was executing the runs in `m_crashed`
     std::vector<std::vector<batch_task>> m_crashes;
     std::optional<time_point> m_lastIgnoredLog;
     std::uint64_t m_ignored = 0; ///< reports and listings ignored since the newest log event
--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -62,16 +62,17 @@
             m_reportServer.respond(exchange, platform::encodeFault(error_kind::unknown_route));
             return;
         }
+        bool used = true;
         if (request.method() == http::verb::delete_) {
             m_core.handleTargetShutdown(*id);
         } else if (const auto report = platform::decodeTargetReport(*id, request.body())) {
-            m_core.handleTargetReport(*report);
+            used = m_core.handleTargetReport(*report);
         } else {
             logLine(log_level::warning, "target_report_malformed", {{"target", *id}});
             m_reportServer.respond(exchange, platform::encodeFault(error_kind::invalid_request));
             return;
         }
-        m_reportServer.respond(exchange, platform::encodeEmpty(/*ok=*/true));
+        m_reportServer.respond(exchange, platform::encodeReportReceipt(used));
         m_loop.schedulePass();
     }
 
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -280,11 +280,12 @@
     }
 }
 
-void dispatch_agent::handleTargetReport(const target_report &report)
+bool dispatch_agent::handleTargetReport(const target_report &report)
 {
-    m_session.handleReport(report);
+    const bool used = m_session.handleReport(report);
     takeSessionResults();
     startQueued();
+    return used;
 }
 
 void dispatch_agent::handleTargetShutdown(const std::string &targetId)
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -31,6 +31,12 @@
 /// target_session_limits::maxListingAge.
 constexpr std::uint32_t maxListFailures = 2;
 constexpr std::int64_t perMille = 1'000;
+/// Bound of a target's clock, in milliseconds, so that sums with it do not overflow. Whole numbers
+/// up to this one are exact in JSON.
+constexpr std::int64_t maxClockMs = std::int64_t{1} << 53U;
+/// Maximum difference to the sequence number of the previous report. Targets report about once a
+/// second, so it corresponds to a quarter of an hour of lost reports.
+constexpr std::uint64_t maxSequenceStep = 1'000;
 /// Minimum interval between log events for ignored reports and listings.
 constexpr duration ignoredLogInterval = 1s;
 
@@ -65,26 +71,147 @@
 
 bool target_session::handleReport(const target_report &report)
 {
-    if (m_target) {
-        const bool sameLifetime = report.lifetime == m_target->lifetime;
-        const bool outdated = sameLifetime && report.sequence <= m_target->sequence;
-        if (outdated || report.lifetime.startedMs < m_target->lifetime.startedMs) {
-            logIgnored("report_ignored", report.lifetime, outdated ? "outdated" : "earlier_start",
-                       {{"sequence", std::to_string(report.sequence)},
-                        {"kept_sequence", std::to_string(m_target->sequence)},
-                        {"address", report.address}});
-            return false;
-        }
-        if (sameLifetime) {
-            m_shutdownAnnounced = false;
-            m_target = report;
-            return true;
+    if (!m_target) {
+        beginLifetime(report);
+        return true;
+    }
+    if (report.lifetime != m_target->lifetime || report.address != m_target->address) {
+        return considerCandidate(report);
+    }
+    // A false sequence number must not outdate all later reports.
+    const auto now = m_clock.now();
+    const bool next = report.sequence > m_target->sequence &&
+                      report.sequence - m_target->sequence <= maxSequenceStep &&
+                      report.service == m_target->service;
+    if (!next && m_lastReport && now - *m_lastReport <= m_limits.maxReportAge) {
+        logIgnoredReport(report, "outdated");
+        return false;
+    }
+    m_shutdownAnnounced = false;
+    m_target = report;
+    m_lastReport = now;
+    return true;
+}
+
+bool target_session::considerCandidate(const target_report &report)
+{
+    // The report may have been delayed, so a lower start time needs the answer of its lifetime.
+    const bool earlier = report.lifetime.startedMs < m_target->lifetime.startedMs;
+    if (!m_candidate) {
+        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
+    } else if (report.lifetime == m_candidate->report.lifetime &&
+               report.address == m_candidate->report.address) {
+        if (report.sequence > m_candidate->report.sequence) {
+            m_candidate->report = report;
         }
+    } else if (m_candidate->call) {
+        m_candidate->next = report;
+    } else {
+        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
+    }
+    const auto candidate = m_candidate->report.lifetime;
+    if (!adoptCandidateOfSilentTarget()) {
+        callCandidate();
+    }
+    if (m_target->lifetime != candidate) {
+        logIgnoredReport(report, earlier ? "earlier_start" : "unconfirmed");
+    }
+    return !earlier;
+}
+
+/// A lifetime that has not answered is only used when the current one does not answer either.
+/// Returns whether the candidate is now the current target.
+bool target_session::adoptCandidateOfSilentTarget()
+{
+    if (!m_candidate || m_candidate->report.lifetime.startedMs < m_target->lifetime.startedMs ||
+        (m_lastListing && m_clock.now() - *m_lastListing <= m_limits.maxListingAge)) {
+        return false;
     }
+    // Starts that were sent after the report may be executed by the new lifetime, too.
+    const auto knownSince = std::max(m_candidate->since, m_lastStart);
+    const auto report = m_candidate->report;
     beginLifetime(report);
+    m_lifetimeKnownSince = knownSince;
     return true;
 }
 
+void target_session::callCandidate()
+{
+    const auto now = m_clock.now();
+    if (!m_candidate || m_candidate->call || now < m_candidate->nextCall) {
+        return;
+    }
+    const call_id id{++m_lastCall};
+    m_pending.emplace(id, pending_call{call_kind::candidate, {}, m_fence, now, false});
+    m_candidate->call = id;
+    const auto &report = m_candidate->report;
+    m_calls.emplace_back(list_runs{{id, report.address, report.lifetime.id, m_limits.callTimeout},
+                                   m_fence,
+                                   0,
+                                   std::nullopt,
+                                   {}});
+}
+
+void target_session::handleCandidateReply(const pending_call &call, const target_reply &reply)
+{
+    auto &candidate = *m_candidate;
+    candidate.call.reset();
+    if (reply.status == call_status::accepted && reply.listing) {
+        if (reply.listing->startedMs != candidate.report.lifetime.startedMs) {
+            dropCandidate("other_lifetime");
+            return;
+        }
+        const auto report = candidate.report;
+        if (report.lifetime == m_target->lifetime) {
+            log("target_moved", {{"target", report.lifetime.id}, {"address", report.address}});
+            m_target = report;
+            m_lastReport = m_clock.now();
+            m_candidate.reset();
+        } else {
+            beginLifetime(report);
+        }
+        return;
+    }
+    if (reply.status == call_status::wrong_target) {
+        dropCandidate("wrong_target");
+        return;
+    }
+    if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
+        if (call.fence == m_fence) {
+            m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
+            m_fence += m_fenceStep;
+        }
+        candidate.nextCall = m_clock.now();
+        return;
+    }
+    candidate.failed = true;
+    candidate.nextCall = m_clock.now() + retryDelay;
+    if (candidate.next) {
+        dropCandidate("unanswered");
+    } else {
+        dropFailedCandidate();
+    }
+}
+
+/// Drops a candidate that did not answer while the current target did.
+void target_session::dropFailedCandidate()
+{
+    if (m_candidate && m_candidate->failed && !m_candidate->call &&
+        m_newestAnsweredCall >= m_candidate->since) {
+        dropCandidate("unanswered");
+    }
+}
+
+void target_session::dropCandidate(std::string_view reason)
+{
+    const auto dropped = *std::exchange(m_candidate, std::nullopt);
+    logIgnoredReport(dropped.report, reason);
+    if (dropped.next) {
+        m_candidate = candidate_target{*dropped.next, m_clock.now(), {}, {}, false, {}};
+        callCandidate();
+    }
+}
+
 void target_session::beginLifetime(const target_report &report)
 {
     log("target_started", {{"target", report.lifetime.id},
@@ -92,19 +219,10 @@
                            {"address", report.address},
                            {"cpu_millis", std::to_string(report.capacity.cpuMillis)},
                            {"runs_lost", std::to_string(m_runs.size())}});
-    reportCrash();
-    const bool planned =
-            m_shutdownAnnounced || (m_target && m_target->phase == target_phase::draining);
-    auto lapsed = std::exchange(m_lapsed, {});
-    if (!planned) {
-        m_crashed = std::move(lapsed);
-        for (const auto &[ref, run] : m_runs) {
-            if (run.state == run_state::running) {
-                m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
-            }
-        }
-    }
+    recordInterruptedRuns(report.lifetime);
     m_target = report;
+    m_candidate.reset();
+    m_lastReport = m_clock.now();
     m_lifetimeKnownSince = m_clock.now();
     m_shutdownAnnounced = false;
     m_cleared = false;
@@ -132,6 +250,33 @@
     m_nextList = m_clock.now() + retryDelay;
 }
 
+/// Collects the runs that the current lifetime was executing when `next` began.
+void target_session::recordInterruptedRuns(const target_lifetime &next)
+{
+    if (m_target && !m_lastListing) {
+        // The current lifetime has never answered, so it executed nothing that is known; the runs
+        // of its predecessor remain, unless that predecessor has not ended after all.
+        if (next == m_crashedLifetime) {
+            m_crashed.clear();
+        }
+        return;
+    }
+    reportCrash();
+    const bool planned =
+            m_shutdownAnnounced || (m_target && m_target->phase == target_phase::draining);
+    auto lapsed = std::exchange(m_lapsed, {});
+    if (planned || !m_target) {
+        return;
+    }
+    m_crashed = std::move(lapsed);
+    m_crashedLifetime = m_target->lifetime;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.state == run_state::running) {
+            m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
+        }
+    }
+}
+
 void target_session::reportCrash()
 {
     if (m_crashed.empty()) {
@@ -184,6 +329,7 @@
                            bool suspect)
 {
     const auto now = m_clock.now();
+    m_lastStart = now;
     m_runs.emplace(
             ref,
             session_run{demand, run_state::starting, m_fence, now, now, false, {}, false, suspect});
@@ -232,7 +378,7 @@
 
 void target_session::recordClock(std::int64_t clockMs)
 {
-    m_clockSample = clockMs;
+    m_clockSample = std::clamp(clockMs, -maxClockMs, maxClockMs);
     m_clockSampleTime = m_clock.now();
 }
 
@@ -286,6 +432,8 @@
     if (!m_target) {
         return;
     }
+    adoptCandidateOfSilentTarget();
+    callCandidate();
     const auto now = m_clock.now();
     const auto pendingLongPolls = static_cast<std::size_t>(std::ranges::count_if(
             m_pending, [](const auto &call) { return call.second.longPoll; }));
@@ -341,6 +489,10 @@
     }
     const auto call = found->second;
     m_pending.erase(found);
+    if (call.kind == call_kind::candidate) {
+        handleCandidateReply(call, reply);
+        return;
+    }
     if (reply.clockMs) {
         recordClock(*reply.clockMs);
     }
@@ -410,7 +562,9 @@
         m_listFailures = 0;
         m_lastListing = m_clock.now();
         m_nextList = m_clock.now();
+        m_newestAnsweredCall = std::max(m_newestAnsweredCall, call.sent);
         applyListing(call, *reply.listing);
+        dropFailedCandidate();
         return;
     }
     if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
@@ -442,6 +596,7 @@
             restarted.sequence = 0;
             restarted.clockMs.reset();
             beginLifetime(restarted);
+            m_lastReport.reset();
         } else {
             logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs},
                        "earlier_start",
@@ -609,6 +764,14 @@
     m_runs.erase(found);
 }
 
+void target_session::logIgnoredReport(const target_report &report, std::string_view reason)
+{
+    logIgnored("report_ignored", report.lifetime, reason,
+               {{"sequence", std::to_string(report.sequence)},
+                {"kept_sequence", std::to_string(m_target->sequence)},
+                {"address", report.address}});
+}
+
 void target_session::logIgnored(std::string name, const target_lifetime &lifetime,
                                 std::string_view reason,
                                 std::vector<std::pair<std::string, std::string>> fields)
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 using namespace bamboohead;
@@ -271,3 +272,23 @@
     CHECK(fixture.target.call(late, fixture.time.now()).refusal == call_refusal::fenced);
     CHECK(fixture.started.empty());
 }
+
+// Guards against a single false report that ends the use of a target until its agent restarts.
+TEST_CASE("an agent continues to use its target after a false report")
+{
+    dispatch_agent_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime = {"i-9", 9'999'999'999'999'999};
+    report.address = "10.0.0.9:4464";
+    report.clockMs = std::numeric_limits<std::int64_t>::max();
+    fixture.agent.handleTargetReport(report);
+    const auto good = fixture.target.report(fixture.time.now());
+    CHECK(fixture.agent.handleTargetReport(good));
+    CHECK_FALSE(fixture.agent.handleTargetReport(good)); // is not acknowledged: outdated
+    fixture.pass(100ms);
+    fixture.order(0, {1'000, 64, 0});
+    CHECK(fixture.started == std::vector<std::uint32_t>{0});
+    fixture.pass(1s);
+    CHECK(fixture.target.running().size() == 1);
+    CHECK_FALSE(fixture.ends.contains(0));
+}
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 
 using namespace bamboohead;
 using namespace bamboohead::dispatch_test;
@@ -659,3 +660,153 @@
     }
     CHECK(fixture.target.running().empty());
 }
+
+// Guards against a single false report that ends the use of a target until its agent restarts.
+TEST_CASE("a report that no target confirms does not displace a target that answers")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    SUBCASE("another id at an address that does not answer")
+    {
+        report.lifetime = {"i-9", 9'999'999'999'999'999};
+        report.address = "10.0.0.9:4464";
+        report.clockMs = std::numeric_limits<std::int64_t>::max();
+    }
+    SUBCASE("another id at the address of the target")
+    {
+        report.lifetime = {"i-9", 9'999'999'999'999'999};
+    }
+    SUBCASE("another start time under the same id")
+    {
+        report.lifetime.startedMs = 9'999'999'999'999'999;
+        report.clockMs = std::numeric_limits<std::int64_t>::max();
+    }
+    SUBCASE("another address under the same id and start time")
+    {
+        report.address = "10.0.0.9:4464";
+    }
+    SUBCASE("a very large sequence number")
+    {
+        report.sequence = std::numeric_limits<std::uint64_t>::max();
+        report.capacity = {};
+    }
+    SUBCASE("another service of the same lifetime")
+    {
+        report.service = "unknown";
+    }
+    fixture.session.handleReport(report);
+    for (int round = 0; round < 100; ++round) {
+        fixture.pass(10ms);
+        REQUIRE(fixture.session.ready());
+    }
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+    CHECK(fixture.session.target()->lifetime == target_lifetime{"i-1", 1});
+    CHECK(fixture.session.target()->service == "quotes");
+    CHECK(fixture.session.target()->address == "10.0.0.1:80");
+    CHECK(fixture.session.target()->capacity == fixture.target.capacity());
+    CHECK(fixture.outcomes.empty());
+    fixture.session.start(refOf(1), "spec", demand);
+    fixture.pass(100ms);
+    CHECK(fixture.target.running().contains(refOf(1)));
+}
+
+// Guards against a false first report, or one while the target is silent, that is never corrected.
+TEST_CASE("a target displaces a lifetime that does not answer")
+{
+    session_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime = {"i-9", 9'999'999'999'999'999};
+    report.address = "10.0.0.9:4464";
+    SUBCASE("before the first listing of the target")
+    {}
+    SUBCASE("while the target is silent")
+    {
+        fixture.pass(100ms);
+        fixture.silent = true;
+        fixture.pass(800ms);
+    }
+    SUBCASE("while the target is silent and a run executes")
+    {
+        fixture.pass(100ms);
+        fixture.runTime = 60s;
+        fixture.session.start(refOf(0), "spec", demand);
+        fixture.pass(100ms);
+        fixture.silent = true;
+        fixture.pass(800ms);
+    }
+    fixture.session.handleReport(report);
+    fixture.pass(100ms);
+    fixture.silent = false;
+    for (int round = 0; round < 3; ++round) {
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(500ms);
+    }
+    CHECK(fixture.session.target()->lifetime == target_lifetime{"i-1", 1});
+    CHECK(fixture.session.ready());
+    CHECK(fixture.session.committed() == resources{});
+    CHECK(fixture.crashes.empty());
+}
+
+// Guards against a target whose reports are ignored for good after a false first sequence number.
+TEST_CASE("any sequence number is used again when no report was used for some time")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.sequence += 100;
+    report.phase = target_phase::draining;
+    CHECK(fixture.session.handleReport(report));
+    CHECK_FALSE(fixture.session.ready());
+    for (int round = 0; round < 5; ++round) {
+        fixture.pass(500ms);
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    }
+    CHECK(fixture.session.ready());
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+}
+
+// Guards against a connection for each of many false reports.
+TEST_CASE("at most one call to an unconfirmed lifetime is in progress")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.address = "10.0.0.9:4464";
+    std::size_t calls = 0;
+    for (int number = 0; number < 20; ++number) {
+        report.lifetime = {"i-" + std::to_string(9 + number), 5'000 + number};
+        fixture.session.handleReport(report);
+        fixture.session.tick();
+        for (const auto &call : fixture.session.takeCalls()) {
+            const auto &header = std::visit(
+                    [](const auto &made) -> const call_header & { return made.header; }, call);
+            calls += header.address == report.address ? 1 : 0;
+        }
+    }
+    CHECK(calls == 1);
+}
+
+// Guards against a restarted target that is taken up later than its first report allows.
+TEST_CASE("a restarted target is cleared within a tick of its first report")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    SUBCASE("under another id")
+    {
+        fixture.target.restart("i-2", 2, fixture.time.now());
+    }
+    SUBCASE("under the same id")
+    {
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+    const auto reported = fixture.time.now();
+    fixture.pass(10ms);
+    CHECK(fixture.session.target()->lifetime.startedMs == 2);
+    CHECK(fixture.session.ready());
+    CHECK(fixture.time.now() - reported == 10ms);
+}
