--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -36,6 +36,14 @@
 /// target_session_limits::maxListingAge.
 constexpr std::uint32_t maxListFailures = 2;
 constexpr std::int64_t perMille = 1'000;
+/// Bound of a target's clock, in milliseconds, so that sums with it do not overflow. Whole numbers
+/// up to this one are exact in JSON.
+constexpr std::int64_t maxClockMs = std::int64_t{1} << 53U;
+/// Maximum difference to the sequence number of the previous report. Targets report about once a
+/// second, so it corresponds to a quarter of an hour of lost reports.
+constexpr std::uint64_t maxSequenceStep = 1'000;
+/// Minimum interval between log events for ignored reports and listings.
+constexpr duration ignoredLogInterval = 1s;
 
 std::int64_t toSignedMilliseconds(duration time)
 {
@@ -68,22 +76,147 @@
 
 bool target_session::handleReport(const target_report &report)
 {
-    if (m_target) {
-        const bool sameLifetime = report.lifetime == m_target->lifetime;
-        const bool outdated = sameLifetime && report.sequence <= m_target->sequence;
-        if (outdated || report.lifetime.startedMs < m_target->lifetime.startedMs) {
-            return false;
-        }
-        if (sameLifetime) {
-            m_shutdownAnnounced = false;
-            m_target = report;
-            return true;
+    if (!m_target) {
+        beginLifetime(report);
+        return true;
+    }
+    if (report.lifetime != m_target->lifetime || report.address != m_target->address) {
+        return considerCandidate(report);
+    }
+    // A false sequence number must not outdate all later reports.
+    const auto now = m_clock.now();
+    const bool next = report.sequence > m_target->sequence &&
+                      report.sequence - m_target->sequence <= maxSequenceStep &&
+                      report.service == m_target->service;
+    if (!next && m_lastReport && now - *m_lastReport <= m_limits.maxReportAge) {
+        logIgnoredReport(report, "outdated");
+        return false;
+    }
+    m_shutdownAnnounced = false;
+    m_target = report;
+    m_lastReport = now;
+    return true;
+}
+
+bool target_session::considerCandidate(const target_report &report)
+{
+    // The report may have been delayed, so a lower start time needs the answer of its lifetime.
+    const bool earlier = report.lifetime.startedMs < m_target->lifetime.startedMs;
+    if (!m_candidate) {
+        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
+    } else if (report.lifetime == m_candidate->report.lifetime &&
+               report.address == m_candidate->report.address) {
+        if (report.sequence > m_candidate->report.sequence) {
+            m_candidate->report = report;
         }
+    } else if (m_candidate->call) {
+        m_candidate->next = report;
+    } else {
+        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
+    }
+    const auto candidate = m_candidate->report.lifetime;
+    if (!adoptCandidateOfSilentTarget()) {
+        callCandidate();
+    }
+    if (m_target->lifetime != candidate) {
+        logIgnoredReport(report, earlier ? "earlier_start" : "unconfirmed");
     }
+    return !earlier;
+}
+
+/// A lifetime that has not answered is only used when the current one does not answer either.
+/// Returns whether the candidate is now the current target.
+bool target_session::adoptCandidateOfSilentTarget()
+{
+    if (!m_candidate || m_candidate->report.lifetime.startedMs < m_target->lifetime.startedMs ||
+        (m_lastListing && m_clock.now() - *m_lastListing <= m_limits.maxListingAge)) {
+        return false;
+    }
+    // Starts that were sent after the report may be executed by the new lifetime, too.
+    const auto knownSince = std::max(m_candidate->since, m_lastStart);
+    const auto report = m_candidate->report;
     beginLifetime(report);
+    m_lifetimeKnownSince = knownSince;
     return true;
 }
 
+void target_session::callCandidate()
+{
+    const auto now = m_clock.now();
+    if (!m_candidate || m_candidate->call || now < m_candidate->nextCall) {
+        return;
+    }
+    const call_id id{++m_lastCall};
+    m_pending.emplace(id, pending_call{call_kind::candidate, {}, m_fence, now, false});
+    m_candidate->call = id;
+    const auto &report = m_candidate->report;
+    m_calls.emplace_back(list_runs{{id, report.address, report.lifetime.id, m_limits.callTimeout},
+                                   m_fence,
+                                   0,
+                                   std::nullopt,
+                                   {}});
+}
+
+void target_session::handleCandidateReply(const pending_call &call, const target_reply &reply)
+{
+    auto &candidate = *m_candidate;
+    candidate.call.reset();
+    if (reply.status == call_status::accepted && reply.listing) {
+        if (reply.listing->startedMs != candidate.report.lifetime.startedMs) {
+            dropCandidate("other_lifetime");
+            return;
+        }
+        const auto report = candidate.report;
+        if (report.lifetime == m_target->lifetime) {
+            log("target_moved", {{"target", report.lifetime.id}, {"address", report.address}});
+            m_target = report;
+            m_lastReport = m_clock.now();
+            m_candidate.reset();
+        } else {
+            beginLifetime(report);
+        }
+        return;
+    }
+    if (reply.status == call_status::wrong_target) {
+        dropCandidate("wrong_target");
+        return;
+    }
+    if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
+        if (call.fence == m_fence) {
+            m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
+            m_fence += m_fenceStep;
+        }
+        candidate.nextCall = m_clock.now();
+        return;
+    }
+    candidate.failed = true;
+    candidate.nextCall = m_clock.now() + retryDelay;
+    if (candidate.next) {
+        dropCandidate("unanswered");
+    } else {
+        dropFailedCandidate();
+    }
+}
+
+/// Drops a candidate that did not answer while the current target did.
+void target_session::dropFailedCandidate()
+{
+    if (m_candidate && m_candidate->failed && !m_candidate->call &&
+        m_newestAnsweredCall >= m_candidate->since) {
+        dropCandidate("unanswered");
+    }
+}
+
+void target_session::dropCandidate(std::string_view reason)
+{
+    const auto dropped = *std::exchange(m_candidate, std::nullopt);
+    logIgnoredReport(dropped.report, reason);
+    if (dropped.next) {
+        m_candidate = candidate_target{*dropped.next, m_clock.now(), {}, {}, false, {}};
+        callCandidate();
+    }
+}
+
 void target_session::beginLifetime(const target_report &report)
 {
     log("target_started", {{"target", report.lifetime.id},
@@ -91,19 +224,10 @@
                            {"address", report.address},
                            {"cpu_millis", std::to_string(report.capacity.cpuMillis)},
                            {"runs_lost", std::to_string(m_runs.size())}});
-    reportCrash();
-    const bool planned =
-            m_shutdownAnnounced || (m_target && m_target->phase == target_phase::draining);
-    auto lapsed = std::exchange(m_lapsed, {});
-    if (!planned) {
-        m_crashed = std::move(lapsed);
-        for (const auto &[ref, run] : m_runs) {
-            if (run.state == run_state::running) {
-                m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
-            }
-        }
-    }
+    recordInterruptedRuns(report.lifetime);
     m_target = report;
+    m_candidate.reset();
+    m_lastReport = m_clock.now();
     m_lifetimeKnownSince = m_clock.now();
     m_shutdownAnnounced = false;
     m_cleared = false;
@@ -118,14 +242,44 @@
     m_clockSample.reset();
     m_leaseEnd = 0;
     m_pending.clear();
-    m_foreignStops.clear();
+    m_foreignRuns.clear();
     m_recentlyEnded.clear();
     m_lastListing.reset();
-    m_nextList = m_clock.now();
     m_listFailures = 0;
     if (report.clockMs) {
         recordClock(*report.clockMs);
     }
+    // Until the lifetime has received a call, it executes late starts that earlier fences have
+    // voided only in its predecessor.
+    sendList(false);
+    m_nextList = m_clock.now() + retryDelay;
+}
+
+/// Collects the runs that the current lifetime was executing when `next` began.
+void target_session::recordInterruptedRuns(const target_lifetime &next)
+{
+    if (m_target && !m_lastListing) {
+        // The current lifetime has never answered, so it executed nothing that is known; the runs
+        // of its predecessor remain, unless that predecessor has not ended after all.
+        if (next == m_crashedLifetime) {
+            m_crashed.clear();
+        }
+        return;
+    }
+    reportCrash();
+    const bool planned =
+            m_shutdownAnnounced || (m_target && m_target->phase == target_phase::draining);
+    auto lapsed = std::exchange(m_lapsed, {});
+    if (planned || !m_target) {
+        return;
+    }
+    m_crashed = std::move(lapsed);
+    m_crashedLifetime = m_target->lifetime;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.state == run_state::running) {
+            m_crashed.emplace(ref, interrupted_run{run.suspect, run.started});
+        }
+    }
 }
 
 void target_session::reportCrash()
@@ -163,7 +317,7 @@
 bool target_session::ready() const
 {
     const auto now = m_clock.now();
-    return m_target && m_cleared && !m_shutdownAnnounced &&
+    return m_target && m_cleared && m_foreignRuns.empty() && !m_shutdownAnnounced &&
            m_target->phase == target_phase::serving && now >= m_unhealthyUntil && m_lastListing &&
            now - *m_lastListing <= m_limits.maxListingAge &&
            now - leaseBase() <= m_limits.lease - m_limits.minStartLease;
@@ -181,6 +335,7 @@
                            bool suspect)
 {
     const auto now = m_clock.now();
+    m_lastStart = now;
     session_run run;
     run.demand = demand;
     run.startFence = m_fence;
@@ -245,7 +400,7 @@
     for (const auto &[ref, run] : m_runs) {
         base = std::min(base, run.stopDue.value_or(base));
     }
-    for (const auto &[ref, run] : m_foreignStops) {
+    for (const auto &[ref, run] : m_foreignRuns) {
         base = std::min(base, run.found);
     }
     return base;
@@ -253,7 +408,7 @@
 
 void target_session::recordClock(std::int64_t clockMs)
 {
-    m_clockSample = clockMs;
+    m_clockSample = std::clamp(clockMs, -maxClockMs, maxClockMs);
     m_clockSampleTime = m_clock.now();
 }
 
@@ -308,6 +463,8 @@
     if (!m_target) {
         return;
     }
+    adoptCandidateOfSilentTarget();
+    callCandidate();
     const auto now = m_clock.now();
     const auto pendingLongPolls = static_cast<std::size_t>(std::ranges::count_if(
             m_pending, [](const auto &call) { return call.second.longPoll; }));
@@ -358,8 +515,14 @@
     log("lease_lapsed", {{"target", m_target->lifetime.id},
                          {"runs_lost", std::to_string(m_runs.size())},
                          {"lease_end_ms", std::to_string(m_leaseEnd)}});
+    m_foreignRuns.clear(); // their lease has expired as well
     while (!m_runs.empty()) {
         const auto &[ref, run] = *m_runs.begin();
+        if (run.state == run_state::withheld) {
+            const auto outcome = run.withheld;
+            end(run_ref{ref}, outcome.result, outcome.refusal, outcome.crashPossible);
+            continue;
+        }
         if (run.state == run_state::running) {
             m_lapsed.emplace(ref, interrupted_run{run.suspect, run.started});
         }
@@ -375,6 +538,10 @@
     }
     const auto call = found->second;
     m_pending.erase(found);
+    if (call.kind == call_kind::candidate) {
+        handleCandidateReply(call, reply);
+        return;
+    }
     if (reply.clockMs) {
         recordClock(*reply.clockMs);
     }
@@ -444,7 +611,9 @@
         m_listFailures = 0;
         m_lastListing = m_clock.now();
         m_nextList = m_clock.now();
+        m_newestAnsweredCall = std::max(m_newestAnsweredCall, call.sent);
         applyListing(call, *reply.listing);
+        dropFailedCandidate();
         return;
     }
     if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
@@ -476,6 +645,12 @@
             restarted.sequence = 0;
             restarted.clockMs.reset();
             beginLifetime(restarted);
+            m_lastReport.reset();
+        } else {
+            logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs},
+                       "earlier_start",
+                       {{"running", std::to_string(listing.running.size())},
+                        {"ended", std::to_string(listing.ended.size())}});
         }
         return;
     }
@@ -487,9 +662,10 @@
                                    [&](const auto &ended) { return ended.ref == run.first; });
     });
     reportCrash();
+    recordForeign(call, listing);
     applyEnds(listing.ended);
     resolveRuns(call, running);
-    stopForeign(running);
+    stopForeign();
     if (!m_cleared && call.fence == m_fence &&
         std::ranges::none_of(running, [&](const auto &ref) { return foreign(ref); })) {
         m_cleared = true;
@@ -505,7 +681,6 @@
             continue;
         }
         m_endsSeen = listed.number;
-        m_foreignStops.erase(listed.ref);
         switch (listed.kind) {
         case run_end_kind::done:
             end(listed.ref, run_outcome::kind::done);
@@ -526,6 +701,7 @@
 void target_session::resolveRuns(const pending_call &call, const std::set<run_ref> &running)
 {
     std::vector<std::pair<run_ref, run_outcome::kind>> gone;
+    std::vector<run_ref> released;
     for (auto &[ref, run] : m_runs) {
         if (run.state == run_state::unresolved) {
             if (running.contains(ref)) {
@@ -541,6 +717,15 @@
             gone.emplace_back(ref, run_outcome::kind::lost);
         }
     }
+    for (const auto &[ref, run] : m_runs) {
+        if (run.state == run_state::withheld && !foreignRunOf(ref.task)) {
+            released.push_back(ref);
+        }
+    }
+    for (const auto &ref : released) {
+        const auto outcome = m_runs.at(ref).withheld;
+        end(ref, outcome.result, outcome.refusal, outcome.crashPossible);
+    }
     for (const auto &[ref, result] : gone) {
         const bool notStarted = result == run_outcome::kind::not_started;
         if (notStarted) {
@@ -558,22 +743,49 @@
     return !m_runs.contains(ref) && !m_recentlyEnded.contains(ref);
 }
 
-void target_session::stopForeign(const std::set<run_ref> &running)
+/// Updates the foreign runs. One is removed when the listing contains its end, or when the listing
+/// was requested after the newest one that contained the run: replies may overtake each other.
+void target_session::recordForeign(const pending_call &call, const run_listing &listing)
 {
     const auto now = m_clock.now();
-    for (const auto &ref : running) {
-        if (!foreign(ref)) {
-            continue;
+    for (const auto &ref : listing.running) {
+        if (foreign(ref)) {
+            m_foreignRuns.try_emplace(ref, foreign_run{now, now, {}}).first->second.listed = now;
         }
-        const auto [position, added] = m_foreignStops.try_emplace(ref, foreign_run{now, {}});
-        auto &stop = position->second;
-        if (added || now - stop.stopSent >= stopRetryInterval) {
-            stop.stopSent = now;
-            log("foreign_run_stopped", {{"run", toText(ref)}, {"target", m_target->lifetime.id}});
-            sendStop(ref, nullptr);
+    }
+    for (const auto &ended : listing.ended) {
+        if (ended.number > m_endsSeen) {
+            m_foreignRuns.erase(ended.ref);
+        }
+    }
+    std::erase_if(m_foreignRuns, [&](const auto &run) { return run.second.listed < call.sent; });
+}
+
+bool target_session::foreignRunOf(const batch_task &task) const
+{
+    const auto first = m_foreignRuns.lower_bound(run_ref{task, 0});
+    return first != m_foreignRuns.end() && first->first.task == task;
+}
+
+void target_session::stopForeign()
+{
+    const auto now = m_clock.now();
+    for (auto &[ref, run] : m_foreignRuns) {
+        if (now - run.stopSent < stopRetryInterval) {
+            continue;
         }
+        run.stopSent = now;
+        const auto own = m_runs.lower_bound(run_ref{ref.task, 0});
+        const bool hasOwn = own != m_runs.end() && own->first.task == ref.task;
+        log("foreign_run_stopped",
+            {{"run", toText(ref)},
+             {"target", m_target->lifetime.id},
+             {"own_run", hasOwn ? toText(own->first) : "none"},
+             {"cleared", m_cleared ? "true" : "false"},
+             {"lifetime_known_ms",
+              std::to_string(toSignedMilliseconds(now - m_lifetimeKnownSince))}});
+        sendStop(ref, nullptr);
     }
-    std::erase_if(m_foreignStops, [&](const auto &stop) { return !running.contains(stop.first); });
     std::erase_if(m_recentlyEnded,
                   [&](const auto &ended) { return now - ended.second >= staleListingLimit; });
 }
@@ -585,6 +797,15 @@
     if (found == m_runs.end()) {
         return;
     }
+    // An entry may start the task elsewhere as soon as it knows the outcome.
+    if (result != run_outcome::kind::done && foreignRunOf(ref.task)) {
+        if (found->second.state != run_state::withheld) {
+            log("run_withheld", {{"run", toText(ref)}, {"target", m_target->lifetime.id}});
+        }
+        found->second.state = run_state::withheld;
+        found->second.withheld = {result, refusal, crashPossible};
+        return;
+    }
     const auto &run = found->second;
     if (run.stopOverdue) {
         log("stop_late",
@@ -600,6 +821,34 @@
     m_runs.erase(found);
 }
 
+void target_session::logIgnoredReport(const target_report &report, std::string_view reason)
+{
+    logIgnored("report_ignored", report.lifetime, reason,
+               {{"sequence", std::to_string(report.sequence)},
+                {"kept_sequence", std::to_string(m_target->sequence)},
+                {"address", report.address}});
+}
+
+void target_session::logIgnored(std::string name, const target_lifetime &lifetime,
+                                std::string_view reason,
+                                std::vector<std::pair<std::string, std::string>> fields)
+{
+    const auto now = m_clock.now();
+    ++m_ignored;
+    if (m_lastIgnoredLog && now - *m_lastIgnoredLog < ignoredLogInterval) {
+        return;
+    }
+    m_lastIgnoredLog = now;
+    fields.insert(fields.begin(),
+                  {{"target", lifetime.id},
+                   {"started_ms", std::to_string(lifetime.startedMs)},
+                   {"kept", m_target->lifetime.id},
+                   {"kept_started_ms", std::to_string(m_target->lifetime.startedMs)},
+                   {"reason", std::string{reason}},
+                   {"ignored", std::to_string(std::exchange(m_ignored, 0))}});
+    log(std::move(name), std::move(fields));
+}
+
 void target_session::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
 {
     m_events.emplace_back(std::move(name), std::move(fields));
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 
@@ -110,12 +111,18 @@
                 agent.receive(message(entry));
             }
             agent.tick();
-            for (const auto &action : agent.takeActions()) {
-                if (const auto *const call = std::get_if<target_call>(&action)) {
-                    agent.handleCallResult(execute(*call));
-                } else if (const auto *const sent = std::get_if<send_message>(&action)) {
-                    handleReport(sent->envelope);
-                }
+            deliver();
+        }
+    }
+
+    /// Executes the calls that the agent has made and collects its reports.
+    void deliver()
+    {
+        for (const auto &action : agent.takeActions()) {
+            if (const auto *const call = std::get_if<target_call>(&action)) {
+                agent.handleCallResult(execute(*call));
+            } else if (const auto *const sent = std::get_if<send_message>(&action)) {
+                handleReport(sent->envelope);
             }
         }
     }
@@ -381,3 +388,38 @@
     CHECK(fixture.longestLeaseMs(reply.clockMs.value()) <= 540);
     CHECK(fixture.startCalls == std::vector<std::uint32_t>{1});
 }
+
+// Guards against a late start that a new lifetime of the target executes before the agent has
+// called it: the fence voids such a start only in the lifetime that has acknowledged it.
+TEST_CASE("an agent calls a new lifetime of its target without waiting for a tick")
+{
+    dispatch_agent_fixture fixture;
+    fixture.demands[0] = {1'000, 64, 0};
+    const start_run late{{call_id{0}, "", "i-1", {}}, refOf(0), "spec", 100'000, 1};
+    (void)fixture.agent.takeActions(); // list calls that may not reach the new lifetime
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.deliver();
+    CHECK(fixture.target.call(late, fixture.time.now()).refusal == call_refusal::fenced);
+    CHECK(fixture.started.empty());
+}
+
+// Guards against a single false report that ends the use of a target until its agent restarts.
+TEST_CASE("an agent continues to use its target after a false report")
+{
+    dispatch_agent_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime = {"i-9", 9'999'999'999'999'999};
+    report.address = "10.0.0.9:4464";
+    report.clockMs = std::numeric_limits<std::int64_t>::max();
+    fixture.agent.handleTargetReport(report);
+    const auto good = fixture.target.report(fixture.time.now());
+    CHECK(fixture.agent.handleTargetReport(good));
+    CHECK_FALSE(fixture.agent.handleTargetReport(good)); // is not acknowledged: outdated
+    fixture.pass(100ms);
+    fixture.order(0, {1'000, 64, 0});
+    CHECK(fixture.started == std::vector<std::uint32_t>{0});
+    fixture.pass(1s);
+    CHECK(fixture.target.running().size() == 1);
+    CHECK_FALSE(fixture.ends.contains(0));
+}
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 
 using namespace bamboohead;
 using namespace bamboohead::dispatch_test;
@@ -83,6 +84,10 @@
             session.handle({header.id, call_status::unanswered, call_refusal::none, {}, {}});
             return;
         }
+        if (header.address != "10.0.0.1:80") {
+            session.handle({header.id, call_status::unreachable, call_refusal::none, {}, {}});
+            return;
+        }
         if (silent || (loseStops && std::holds_alternative<stop_run>(call))) {
             session.handle({header.id, call_status::unanswered, call_refusal::none, {}, {}});
             return;
@@ -96,6 +101,13 @@
         session.handle(reply);
     }
 
+    /// Executes a start call that was made before the first fence of the session.
+    void executeLateStart(const run_ref &ref, const std::string &targetId = "i-1")
+    {
+        const start_run call{{call_id{0}, "", targetId, {}}, ref, "spec", 100'000, 1};
+        REQUIRE(target.call(call, time.now()).status == call_status::accepted);
+    }
+
     [[nodiscard]] bool ended(const run_ref &ref, run_outcome::kind result) const
     {
         return std::ranges::any_of(
@@ -623,3 +635,262 @@
     REQUIRE(fixture.crashes.size() == 1);
     CHECK(fixture.crashes[0] == std::vector{refOf(0).task});
 }
+
+// Guards against reports that are ignored without a trace, and against a log that they flood.
+TEST_CASE("ignored reports are logged at most once a second, with their number")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    const auto old = fixture.target.report(fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    (void)fixture.session.takeEvents();
+    for (int count = 0; count < 150; ++count) {
+        fixture.time.advance(10ms);
+        CHECK_FALSE(fixture.session.handleReport(old));
+    }
+    const auto events = fixture.session.takeEvents();
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].first == "report_ignored");
+    CHECK(std::ranges::find(events[1].second, std::pair<std::string, std::string>{
+                                                      "ignored", "100"}) != events[1].second.end());
+}
+
+// Guards against a task that executes on two targets: a late start executes another run of it in
+// the new lifetime, and the report that its own run is lost lets an entry start it elsewhere.
+TEST_CASE("the outcome of a run is held back while the target executes another run of its task")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0, 2), "spec", demand);
+    fixture.pass(50ms);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.executeLateStart(refOf(0, 1));
+    fixture.loseStops = true;
+    fixture.pass(300ms);
+    REQUIRE(fixture.target.running().contains(refOf(0, 1)));
+    CHECK(fixture.outcomes.empty());
+    CHECK_FALSE(fixture.session.ready());
+    SUBCASE("until a stop has ended that run")
+    {
+        fixture.loseStops = false;
+    }
+    SUBCASE("until the lease has expired")
+    {
+        fixture.silent = true;
+    }
+    bool endedBeside = false;
+    for (int round = 0; round < 200 && fixture.outcomes.empty(); ++round) {
+        fixture.pass(10ms);
+        endedBeside =
+                endedBeside || (!fixture.outcomes.empty() && !fixture.target.running().empty());
+    }
+    CHECK(fixture.ended(refOf(0, 2), run_outcome::kind::lost));
+    CHECK_FALSE(endedBeside);
+    CHECK(fixture.session.committed() == resources{});
+}
+
+// Guards against a task that executes on two targets because a refused start lets an entry start it
+// elsewhere.
+TEST_CASE("a start that is refused as old is held back while another run of the task executes")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.executeLateStart(refOf(0, 1));
+    (void)fixture.target.call(stop_run{{call_id{0}, "", "i-1", {}}, refOf(0, 2), 1},
+                              fixture.time.now());
+    fixture.loseStops = true;
+    fixture.pass(100ms);
+    fixture.session.start(refOf(0, 2), "spec", demand);
+    fixture.pass(300ms);
+    REQUIRE(fixture.target.running().contains(refOf(0, 1)));
+    CHECK(fixture.outcomes.empty());
+    fixture.loseStops = false;
+    fixture.pass(300ms);
+    CHECK(fixture.target.running().empty());
+    REQUIRE(fixture.outcomes.size() == 1);
+    CHECK(fixture.outcomes.front().refusal == start_refusal::old_run);
+}
+
+// Guards against a longer overlap than one listing when a new lifetime executes a voided start
+// before its first call: the fence that voided the start is unknown there.
+TEST_CASE("a voided start that a new lifetime executes is stopped after the first listing")
+{
+    session_fixture fixture;
+    fixture.pass(50ms);
+    fixture.runTime = 60s;
+    fixture.loseStarts = true;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(50ms);
+    REQUIRE(fixture.ended(refOf(0), run_outcome::kind::not_started));
+    REQUIRE(fixture.lostCalls.size() == 1);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    SUBCASE("the start precedes the first call")
+    {
+        const auto reply = fixture.target.call(fixture.lostCalls.front(), fixture.time.now());
+        REQUIRE(reply.status == call_status::accepted);
+        fixture.pass(20ms);
+        CHECK(fixture.started.size() == 1);
+    }
+    SUBCASE("the first call precedes the start")
+    {
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+        fixture.deliver();
+        const auto reply = fixture.target.call(fixture.lostCalls.front(), fixture.time.now());
+        CHECK(reply.refusal == call_refusal::fenced);
+        CHECK(fixture.started.empty());
+    }
+    CHECK(fixture.target.running().empty());
+}
+
+// Guards against a single false report that ends the use of a target until its agent restarts.
+TEST_CASE("a report that no target confirms does not displace a target that answers")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    SUBCASE("another id at an address that does not answer")
+    {
+        report.lifetime = {"i-9", 9'999'999'999'999'999};
+        report.address = "10.0.0.9:4464";
+        report.clockMs = std::numeric_limits<std::int64_t>::max();
+    }
+    SUBCASE("another id at the address of the target")
+    {
+        report.lifetime = {"i-9", 9'999'999'999'999'999};
+    }
+    SUBCASE("another start time under the same id")
+    {
+        report.lifetime.startedMs = 9'999'999'999'999'999;
+        report.clockMs = std::numeric_limits<std::int64_t>::max();
+    }
+    SUBCASE("another address under the same id and start time")
+    {
+        report.address = "10.0.0.9:4464";
+    }
+    SUBCASE("a very large sequence number")
+    {
+        report.sequence = std::numeric_limits<std::uint64_t>::max();
+        report.capacity = {};
+    }
+    SUBCASE("another service of the same lifetime")
+    {
+        report.service = "unknown";
+    }
+    fixture.session.handleReport(report);
+    for (int round = 0; round < 100; ++round) {
+        fixture.pass(10ms);
+        REQUIRE(fixture.session.ready());
+    }
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+    CHECK(fixture.session.target()->lifetime == target_lifetime{"i-1", 1});
+    CHECK(fixture.session.target()->service == "quotes");
+    CHECK(fixture.session.target()->address == "10.0.0.1:80");
+    CHECK(fixture.session.target()->capacity == fixture.target.capacity());
+    CHECK(fixture.outcomes.empty());
+    fixture.session.start(refOf(1), "spec", demand);
+    fixture.pass(100ms);
+    CHECK(fixture.target.running().contains(refOf(1)));
+}
+
+// Guards against a false first report, or one while the target is silent, that is never corrected.
+TEST_CASE("a target displaces a lifetime that does not answer")
+{
+    session_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime = {"i-9", 9'999'999'999'999'999};
+    report.address = "10.0.0.9:4464";
+    SUBCASE("before the first listing of the target")
+    {}
+    SUBCASE("while the target is silent")
+    {
+        fixture.pass(100ms);
+        fixture.silent = true;
+        fixture.pass(800ms);
+    }
+    SUBCASE("while the target is silent and a run executes")
+    {
+        fixture.pass(100ms);
+        fixture.runTime = 60s;
+        fixture.session.start(refOf(0), "spec", demand);
+        fixture.pass(100ms);
+        fixture.silent = true;
+        fixture.pass(800ms);
+    }
+    fixture.session.handleReport(report);
+    fixture.pass(100ms);
+    fixture.silent = false;
+    for (int round = 0; round < 3; ++round) {
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(500ms);
+    }
+    CHECK(fixture.session.target()->lifetime == target_lifetime{"i-1", 1});
+    CHECK(fixture.session.ready());
+    CHECK(fixture.session.committed() == resources{});
+    CHECK(fixture.crashes.empty());
+}
+
+// Guards against a target whose reports are ignored for good after a false first sequence number.
+TEST_CASE("any sequence number is used again when no report was used for some time")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.sequence += 100;
+    report.phase = target_phase::draining;
+    CHECK(fixture.session.handleReport(report));
+    CHECK_FALSE(fixture.session.ready());
+    for (int round = 0; round < 5; ++round) {
+        fixture.pass(500ms);
+        fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    }
+    CHECK(fixture.session.ready());
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+}
+
+// Guards against a connection for each of many false reports.
+TEST_CASE("at most one call to an unconfirmed lifetime is in progress")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.address = "10.0.0.9:4464";
+    std::size_t calls = 0;
+    for (int number = 0; number < 20; ++number) {
+        report.lifetime = {"i-" + std::to_string(9 + number), 5'000 + number};
+        fixture.session.handleReport(report);
+        fixture.session.tick();
+        for (const auto &call : fixture.session.takeCalls()) {
+            const auto &header = std::visit(
+                    [](const auto &made) -> const call_header & { return made.header; }, call);
+            calls += header.address == report.address ? 1 : 0;
+        }
+    }
+    CHECK(calls == 1);
+}
+
+// Guards against a restarted target that is taken up later than its first report allows.
+TEST_CASE("a restarted target is cleared within a tick of its first report")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    SUBCASE("under another id")
+    {
+        fixture.target.restart("i-2", 2, fixture.time.now());
+    }
+    SUBCASE("under the same id")
+    {
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+    const auto reported = fixture.time.now();
+    fixture.pass(10ms);
+    CHECK(fixture.session.target()->lifetime.startedMs == 2);
+    CHECK(fixture.session.ready());
+    CHECK(fixture.time.now() - reported == 10ms);
+}
