Make the dispatch entry testable as a process with sockets

The core, the event loop and the interface for callers of a dispatch entry are members of dispatch_entry_process. A test creates one on the loopback interface and decides when its event loop runs, which simulates a process that is suspended or late. No change of behaviour.

--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -1,7 +1,7 @@
+#include "dispatch_entry_process.hpp"
+
 #include "bamboohead/async_http_server.hpp"
-#include "bamboohead/dispatch/dispatch_entry.hpp"
 #include "bamboohead/process.hpp"
-#include "dispatch_loop.hpp"
 #include "platform/caller_api.hpp"
 
 namespace bamboohead {
@@ -49,6 +49,8 @@
         return m_callerServer.counters();
     }
 
+    [[nodiscard]] std::uint16_t port() const { return m_callerServer.port(); }
+
     /// Logs what became of the requests of this process, at its end.
     void logCounters() const
     {
@@ -155,39 +157,56 @@
     async_http_server m_readinessServer;
 };
 
-} // namespace
-
-void runDispatchEntry(const process_settings &settings, const std::string &settingsFile)
+dispatch_entry_options makeOptions(const process_settings &settings)
 {
-    ignoreBrokenPipes();
-    const log_session log{settings.log};
-    const suspend_aware_clock clock;
     dispatch_entry_options options;
     options.self = {incarnation_id{randomNumber()}, settings.endpoint, wire::ROLE_ENTRY,
                     settings.zone};
     options.contacts = contactEndpoints(settings);
     options.seed = seedOrRandom(settings.entry.seed);
     options.limits.tickPeriod = dispatchTickInterval;
-    dispatch_entry core{options, clock};
-    store_follower_options storeOptions;
-    storeOptions.followConfiguration = true;
-    storeOptions.watchMembers = true;
-    storeOptions.memberName = toText(options.self.incarnation);
-    storeOptions.memberValue = settings.endpoint;
-    dispatch_loop<dispatch_entry> loop{settings, settingsFile, clock, core, storeOptions};
-    caller_interface callers{loop, core, settings.dispatch};
-    loop.onAction([&](dispatch_action &next) {
-        if (const auto *const reply = std::get_if<job_reply>(&next)) {
-            callers.sendReply(*reply);
-            if (reply->responseTime > duration{}) {
-                loop.metrics().observeResponse(reply->responseTime);
+    return options;
+}
+
+store_follower_options makeStoreOptions(const process_identity &self)
+{
+    store_follower_options options;
+    options.followConfiguration = true;
+    options.watchMembers = true;
+    options.memberName = toText(self.incarnation);
+    options.memberValue = self.endpoint;
+    return options;
+}
+
+} // namespace
+
+class dispatch_entry_process::implementation
+{
+public:
+    implementation(const process_settings &processSettings, const std::string &settingsFile,
+                   const clock &clock)
+        : settings{processSettings}
+        , options{makeOptions(settings)}
+        , core{options, clock}
+        , loop{settings, settingsFile, clock, core, makeStoreOptions(options.self)}
+        , callers{loop, core, settings.dispatch}
+    {
+        loop.onAction([this](dispatch_action &next) {
+            if (const auto *const reply = std::get_if<job_reply>(&next)) {
+                callers.sendReply(*reply);
+                if (reply->responseTime > duration{}) {
+                    loop.metrics().observeResponse(reply->responseTime);
+                }
             }
-        }
-    });
-    loop.onStop([&] { callers.closeAfterResponses(); });
-    bool finishing = false;
-    bool exitDue = false;
-    loop.onTick([&] {
+        });
+        loop.onStop([this] { callers.closeAfterResponses(); });
+        loop.onTick([this] { closeCallersOnShutdown(); });
+        loop.setExitCondition([this] { return callers.finished() || exitDue; });
+        loop.onHousekeeping([this] { loop.metrics().update(callers.counters()); });
+    }
+
+    void closeCallersOnShutdown()
+    {
         if (core.shutdownComplete()) {
             // Handlers have to run between finish() and the exit.
             exitDue = finishing && core.exitDue();
@@ -197,13 +216,54 @@
             // Their callers connect to another entry; a job that still arrives here is refused.
             callers.closeIdleConnections();
         }
-    });
-    loop.setExitCondition([&] { return callers.finished() || exitDue; });
-    loop.onHousekeeping([&] { loop.metrics().update(callers.counters()); });
-    logStart(options.self, settings.http);
-    loop.run();
-    callers.logCounters();
+    }
+
+    process_settings settings;
+    dispatch_entry_options options;
+    dispatch_entry core;
+    dispatch_loop<dispatch_entry> loop;
+    caller_interface callers;
+    bool finishing = false;
+    bool exitDue = false;
+};
+
+dispatch_entry_process::dispatch_entry_process(const process_settings &settings,
+                                               const std::string &settingsFile, const clock &clock)
+    : m_impl{std::make_unique<implementation>(settings, settingsFile, clock)}
+{}
+
+dispatch_entry_process::~dispatch_entry_process() = default;
+
+void dispatch_entry_process::run()
+{
+    logStart(m_impl->options.self, m_impl->settings.http);
+    m_impl->loop.run();
+    m_impl->callers.logCounters();
     logLine(log_level::info, "process_ended", {});
 }
 
+dispatch_loop<dispatch_entry> &dispatch_entry_process::loop() noexcept
+{
+    return m_impl->loop;
+}
+
+dispatch_entry &dispatch_entry_process::core() noexcept
+{
+    return m_impl->core;
+}
+
+std::uint16_t dispatch_entry_process::callerPort() const
+{
+    return m_impl->callers.port();
+}
+
+void runDispatchEntry(const process_settings &settings, const std::string &settingsFile)
+{
+    ignoreBrokenPipes();
+    const log_session log{settings.log};
+    const suspend_aware_clock clock;
+    dispatch_entry_process process{settings, settingsFile, clock};
+    process.run();
+}
+
 } // namespace bamboohead
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -140,12 +140,18 @@
     void run()
     {
         m_adminServer.start();
+        start();
+        m_context.run();
+        m_adminServer.stop();
+    }
+
+    /// @brief Starts the loop without the admin server; its handlers run when context() is run.
+    void start()
+    {
         awaitSignal();
         awaitMessages();
         scheduleTick();
         scheduleHousekeeping();
-        m_context.run();
-        m_adminServer.stop();
     }
 
 private:
--- /dev/null
+++ b/tests/dispatch_entry_process_test.cpp
@@ -0,0 +1,161 @@
+#include "dispatch_entry_process.hpp"
+
+#include "bamboohead/clock.hpp"
+#include "bamboohead/dispatch/fleet_member.hpp"
+#include "bamboohead/transport.hpp"
+#include "dispatch/sample_jobs.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace bamboohead;
+using namespace bamboohead::dispatch_test;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    const tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// Agent that reports to an entry over the network and counts the orders that it receives.
+class reporting_agent
+{
+public:
+    reporting_agent(const std::string &entryEndpoint, const bamboohead::clock &clock)
+        : m_transport{"tcp://127.0.0.1:*", clock}
+        , m_member{{incarnation_id{7}, m_transport.endpoint(), wire::ROLE_AGENT, "graz"}, clock}
+    {
+        m_member.addContacts({entryEndpoint});
+    }
+
+    /// Receives what has arrived, and reports a target with free capacity.
+    /// @param ready Whether the agent accepts orders.
+    void exchange(bool ready)
+    {
+        m_transport.receiveAll(
+                [this](const wire::Envelope &envelope) {
+                    (void)m_member.receive(envelope);
+                    m_orders += envelope.dispatch_orders().orders_size();
+                },
+                100);
+        m_member.tick();
+        for (const auto *const entry : m_member.links().peers(wire::ROLE_ENTRY)) {
+            wire::Envelope envelope;
+            auto &report = *envelope.mutable_dispatch_report();
+            report.set_epoch(1);
+            report.set_ready(ready);
+            report.set_cleared(true);
+            report.set_reconcile(true);
+            report.set_service("quotes");
+            report.set_target("i-1");
+            toWire(resources{32'000, 65'536, 0}, *report.mutable_capacity());
+            m_member.send(entry->incarnation, std::move(envelope));
+        }
+        for (const auto &action : m_member.takeActions()) {
+            if (const auto *const message = std::get_if<send_message>(&action)) {
+                m_transport.send(message->endpoint, message->envelope);
+            }
+        }
+        m_transport.maintain();
+    }
+
+    int orders() const { return m_orders; }
+
+private:
+    transport m_transport;
+    fleet_member m_member;
+    int m_orders = 0;
+};
+
+/// Entry process and one agent. The entry does nothing while its event loop is not run, like a
+/// suspended process.
+struct entry_process_fixture
+{
+    entry_process_fixture()
+    {
+        process.core().handleConfig(stateWithOneRoute());
+        process.loop().start();
+    }
+
+    static process_settings makeSettings()
+    {
+        process_settings settings;
+        settings.zone = "graz";
+        settings.endpoint = "tcp://" + freeAddress();
+        settings.dispatch.callers = "127.0.0.1:0";
+        settings.dispatch.readiness = "127.0.0.1:0";
+        return settings;
+    }
+
+    /// Runs the entry and the agent until the condition holds, at most for 5 s.
+    /// @return Whether the condition holds.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 5s;
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            process.loop().context().run_for(10ms);
+            agent.exchange(agentReady);
+        }
+        return condition();
+    }
+
+    void run(std::chrono::milliseconds length)
+    {
+        const auto end = std::chrono::steady_clock::now() + length;
+        (void)runUntil([&] { return std::chrono::steady_clock::now() >= end; });
+    }
+
+    /// Makes the agent ready, or not ready, and runs until the entry knows it.
+    void connectAgent(bool ready)
+    {
+        agentReady = ready;
+        REQUIRE(runUntil([&] {
+            const auto state = process.core().dump();
+            const auto &agents = state.at("agents").as_array();
+            return !agents.empty() && agents[0].at("usable").as_bool() == ready;
+        }));
+    }
+
+    /// Connects a caller and sends a job of one task. The entry need not run for it.
+    tcp::socket submitJob()
+    {
+        tcp::socket caller{callerContext};
+        caller.connect({asio::ip::address_v4::loopback(), process.callerPort()});
+        const std::string body = R"({"taskSpec":"s","bestEffort":true,)"
+                                 R"("steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":100}]})";
+        asio::write(caller, asio::buffer("POST /quotes/0000000000000001 HTTP/1.1\r\n"
+                                         "Host: desk.example\r\nContent-Length: " +
+                                         std::to_string(body.size()) + "\r\n\r\n" + body));
+        return caller;
+    }
+
+    const suspend_aware_clock time;
+    process_settings settings = makeSettings();
+    dispatch_entry_process process{settings, "", time};
+    reporting_agent agent{settings.endpoint, time};
+    bool agentReady = true;
+    asio::io_context callerContext;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(entry_process_fixture, "a job is ordered while its caller waits")
+{
+    connectAgent(true);
+    const auto caller = submitJob();
+    CHECK(runUntil([&] { return agent.orders() == 1; }));
+}
