Count and log jobs whose caller disconnected before they were handled

A read takes a request and delivers it; the end of the connection right behind it is read later. An entry that handles a request late therefore accepts the job of a caller that has left, and nothing in its log tells this from a caller that left afterwards.

The server watches the ends of its connections apart from the event loop, with one system call for all of them and regardless of unread bytes. The entry logs caller_left_early and counts bamboohead_caller_early_disconnects_total. Such jobs are still accepted.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -44,11 +44,14 @@
     std::uint64_t requests = 0;  ///< complete requests, and malformed ones
     std::uint64_t responses = 0; ///< responses that were passed to the operating system as a whole
     std::uint64_t disconnects = 0; ///< requests whose connection ended before respond()
+    /// Requests for which disconnected() was true.
+    std::uint64_t earlyDisconnects = 0;
     /// Connections that the server closed after it had read a part of a request.
     std::uint64_t cutReceiving = 0;
     /// Responses whose connection ended before they were passed to the operating system as a whole.
     std::uint64_t cutSending = 0;
-    std::uint64_t overLimit = 0; ///< connections closed far above `maxConnections`
+    /// Connections closed far above `maxConnections`, or since their end cannot be watched.
+    std::uint64_t overLimit = 0;
 };
 
 /// @brief HTTP/1.1 server on the thread of an io_context.
@@ -73,6 +76,11 @@
     async_http_server(const async_http_server &) = delete;
     async_http_server &operator=(const async_http_server &) = delete;
 
+    /// @brief Whether the end of the connection of an unanswered request has arrived, including the
+    ///        end of its peer's sending side, also behind bytes that were not read. For requests
+    ///        that are not answered at once, to be called by the request handler before it handles
+    ///        one. Makes a system call.
+    [[nodiscard]] bool disconnected(http_exchange exchange);
     /// @brief Sends the response to a request; does nothing when its connection is closed.
     void respond(http_exchange exchange, http_server_response response);
     /// @brief Makes each response from now on close its connection, unless a further request on it
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -5,8 +5,14 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/epoll.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <optional>
+#include <system_error>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -42,6 +48,53 @@
             static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
 }
 
+/// Detects the ends of connections independently of the event loop and of unread bytes. All ends
+/// are detected by one system call; a read of each connection would need one each.
+class disconnect_watch
+{
+public:
+    disconnect_watch()
+        : m_descriptor{epoll_create1(EPOLL_CLOEXEC)}
+    {
+        if (m_descriptor < 0) {
+            throw std::system_error{errno, std::generic_category(), "epoll_create1"};
+        }
+    }
+    ~disconnect_watch() { ::close(m_descriptor); }
+    disconnect_watch(const disconnect_watch &) = delete;
+    disconnect_watch &operator=(const disconnect_watch &) = delete;
+
+    /// Watches a connection until its socket is closed.
+    /// @return False when the operating system refuses it.
+    [[nodiscard]] bool add(int socket, void *owner)
+    {
+        epoll_event event{};
+        event.events = EPOLLRDHUP | EPOLLET; // errors and resets are always reported
+        event.data.ptr = owner;
+        return epoll_ctl(m_descriptor, EPOLL_CTL_ADD, socket, &event) == 0;
+    }
+
+    /// Owners of the connections that have ended since the previous call.
+    std::vector<void *> take()
+    {
+        std::vector<void *> owners;
+        std::array<epoll_event, maxEvents> events{};
+        int count = maxEvents;
+        while (count == maxEvents) {
+            count = epoll_wait(m_descriptor, events.data(), maxEvents, 0);
+            for (int index = 0; index < count; ++index) {
+                owners.push_back(events.at(static_cast<std::size_t>(index)).data.ptr);
+            }
+        }
+        return owners;
+    }
+
+private:
+    static constexpr int maxEvents = 64; ///< per system call
+
+    int m_descriptor;
+};
+
 } // namespace
 
 class async_http_server::implementation : public std::enable_shared_from_this<implementation>
@@ -80,6 +133,16 @@
         }
     }
 
+    bool disconnected(http_exchange exchange)
+    {
+        noteDisconnects();
+        const auto found = m_connections.find(exchange);
+        const bool ended = found == m_connections.end() || found->second->peerFinished ||
+                           found->second->peerEnded;
+        m_counters.earlyDisconnects += ended ? 1 : 0;
+        return ended;
+    }
+
     void respond(http_exchange exchange, http_server_response response)
     {
         const auto found = m_connections.find(exchange);
@@ -136,7 +199,7 @@
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
-    struct http_connection
+    struct http_connection : std::enable_shared_from_this<http_connection>
     {
         explicit http_connection(tcp::socket accepted)
             : socket{std::move(accepted)}
@@ -167,7 +230,8 @@
         std::optional<http::request_parser<http::string_body>> parser;
         http_server_response response;
         request_stage stage = request_stage::none;
-        bool peerFinished = false; ///< the peer sends no more requests
+        bool peerFinished = false; ///< the end of the peer's sending side was read
+        bool peerEnded = false;    ///< it has arrived, possibly behind unread bytes
         bool keepAlive = true;
         std::chrono::steady_clock::time_point lastActive = std::chrono::steady_clock::now();
     };
@@ -227,6 +291,10 @@
         socket.set_option(tcp::no_delay{true}, ignored);
         socket.non_blocking(true, ignored);
         const auto added = std::make_shared<http_connection>(std::move(socket));
+        if (!m_disconnects.add(added->socket.native_handle(), added.get())) {
+            ++m_counters.overLimit;
+            return;
+        }
         added->exchange = http_exchange{++m_lastExchange};
         m_connections.emplace(added->exchange, added);
         resetParser(*added);
@@ -238,6 +306,18 @@
         }
     }
 
+    /// Records the ends of connections that have arrived.
+    /// @return The connections that have ended since the previous call.
+    std::vector<connection_ptr> noteDisconnects()
+    {
+        std::vector<connection_ptr> ended;
+        for (auto *const owner : m_disconnects.take()) {
+            ended.push_back(static_cast<http_connection *>(owner)->shared_from_this());
+            ended.back()->peerEnded = true;
+        }
+        return ended;
+    }
+
     void resetParser(http_connection &connection) const
     {
         connection.parser.emplace();
@@ -445,6 +525,8 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_idleCheckTimer;
     asio::steady_timer m_acceptRetryTimer;
+    /// Outlives the connections, whose sockets are closed by shutDown() at the latest.
+    disconnect_watch m_disconnects;
     std::unordered_map<http_exchange, connection_ptr> m_connections;
     std::uint64_t m_lastExchange = 0;
     async_http_counters m_counters;
@@ -466,6 +548,11 @@
     m_impl->shutDown();
 }
 
+bool async_http_server::disconnected(http_exchange exchange)
+{
+    return m_impl->disconnected(exchange);
+}
+
 void async_http_server::respond(http_exchange exchange, http_server_response response)
 {
     m_impl->respond(exchange, std::move(response));
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -59,6 +59,7 @@
                 {{"requests", std::to_string(counters.requests)},
                  {"responses", std::to_string(counters.responses)},
                  {"disconnects", std::to_string(counters.disconnects)},
+                 {"early_disconnects", std::to_string(counters.earlyDisconnects)},
                  {"cut_receiving", std::to_string(counters.cutReceiving)},
                  {"cut_sending", std::to_string(counters.cutSending)},
                  {"over_limit", std::to_string(counters.overLimit)},
@@ -133,6 +134,10 @@
     void submit(http_exchange exchange, const http_server_request &request,
                 const dispatch_route &route, batch_job_id id)
     {
+        if (m_callerServer.disconnected(exchange)) {
+            logLine(log_level::info, "caller_left_early",
+                    {{"job", toText(id)}, {"route", route.name}});
+        }
         auto job = platform::decodeSubmission(id, request);
         if (const auto *const fault = std::get_if<platform::caller_fault>(&job)) {
             logLine(log_level::info, "job_malformed",
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -406,3 +406,39 @@
     CHECK(second.status() == 503);
     CHECK(fixture.waiting.empty()); // not delivered
 }
+
+// Guards against ends of connections that are detected only after the request before them was
+// handled, or after all bytes in between were read.
+TEST_CASE_FIXTURE(server_fixture, "the end of a connection is known when its request is delivered")
+{
+    std::vector<bool> ended;
+    async_http_server observed{context, "127.0.0.1:0", limits,
+                               [&](http_exchange exchange, const http_server_request &) {
+                                   ended.push_back(observed.disconnected(exchange));
+                               },
+                               [](http_exchange) {}};
+    std::optional<raw_caller> caller;
+    caller.emplace(context, observed.port());
+    SUBCASE("the caller waits")
+    {
+        caller->send(wholeRequest);
+        run();
+        CHECK(ended == std::vector{false});
+        CHECK(observed.counters().earlyDisconnects == 0);
+    }
+    SUBCASE("the caller has closed its connection")
+    {
+        caller->send(wholeRequest);
+        caller.reset();
+        run();
+        CHECK(ended == std::vector{true});
+        CHECK(observed.counters().earlyDisconnects == 1);
+    }
+    SUBCASE("the caller has sent more bytes than one read takes and sends no more")
+    {
+        caller->send(wholeRequest + std::string(40'000, 'x'));
+        caller->finishSending();
+        run();
+        CHECK(ended == std::vector{true});
+    }
+}
