Count a caller's timeout from the arrival of its request

What callers could see: a job that runs although its caller has given up. The time limit of a job began when the entry handled the request, so an entry that was suspended or late for a second let the job run a second longer than its caller waits.

The operating system tells when the newest bytes of a connection arrived (TCP_INFO). The entry subtracts that time from the caller's timeout, and refuses a job as not run when nothing is left. The value never exceeds the time that the request has waited: later bytes of the connection make it smaller. So no job is refused before its caller's timeout has passed. The response-time objective still begins when the request is handled.

Ruled out: the delay of the event loop as an upper bound of the wait. It is larger than the wait of a request that arrived at the end of the delay, so healthy jobs would be refused. Receive timestamps of sockets exist for datagrams only.

--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -143,6 +145,18 @@
         return ended;
     }
 
+    duration sinceArrival(http_exchange exchange) const
+    {
+        const auto found = m_connections.find(exchange);
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        if (found == m_connections.end() || getsockopt(found->second->socket.native_handle(),
+                                                       IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+            return {};
+        }
+        return std::chrono::milliseconds{info.tcpi_last_data_recv};
+    }
+
     void reportDisconnects()
     {
         for (const auto &connection : noteDisconnects()) {
@@ -574,6 +588,11 @@
     return m_impl->disconnected(exchange);
 }
 
+duration async_http_server::sinceArrival(http_exchange exchange) const
+{
+    return m_impl->sinceArrival(exchange);
+}
+
 void async_http_server::reportDisconnects()
 {
     m_impl->reportDisconnects();
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_entry_process.hpp"
 
 #include "bamboohead/async_http_server.hpp"
+#include "bamboohead/dispatch/milliseconds.hpp"
 #include "bamboohead/process.hpp"
 #include "platform/caller_api.hpp"
 
@@ -148,8 +149,24 @@
             refuse(exchange, fault->kind, fault->message);
             return;
         }
+        auto &submission = std::get<batch_submission>(job);
+        if (submission.callerTimeout > duration{}) {
+            // The caller counts from the time at which it sent the request.
+            const auto waited = m_callerServer.sinceArrival(exchange);
+            if (waited >= submission.callerTimeout) {
+                logLine(log_level::info, "job_too_late",
+                        {{"job", toText(id)},
+                         {"route", route.name},
+                         {"waited_ms", std::to_string(toMilliseconds(waited))},
+                         {"patience_ms",
+                          std::to_string(toMilliseconds(submission.callerTimeout))}});
+                refuse(exchange, error_kind::overloaded);
+                return;
+            }
+            submission.callerTimeout -= waited;
+        }
         m_core.submit(caller_request{static_cast<std::uint64_t>(exchange)}, route,
-                      std::move(std::get<batch_submission>(job)));
+                      std::move(submission));
         m_loop.schedulePass();
     }
 
--- a/tests/dispatch_entry_process_test.cpp
+++ b/tests/dispatch_entry_process_test.cpp
@@ -131,15 +131,17 @@
     }
 
     /// Connects a caller and sends a job of one task. The entry need not run for it.
-    tcp::socket submitJob()
+    /// @param header Further header lines, each with its end.
+    tcp::socket submitJob(const std::string &header = {})
     {
         tcp::socket caller{callerContext};
         caller.connect({asio::ip::address_v4::loopback(), process.callerPort()});
         const std::string body = R"({"taskSpec":"s","bestEffort":true,)"
                                  R"("steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":100}]})";
         asio::write(caller, asio::buffer("POST /quotes/0000000000000001 HTTP/1.1\r\n"
-                                         "Host: desk.example\r\nContent-Length: " +
-                                         std::to_string(body.size()) + "\r\n\r\n" + body));
+                                         "Host: desk.example\r\n" +
+                                         header + "Content-Length: " + std::to_string(body.size()) +
+                                         "\r\n\r\n" + body));
         return caller;
     }
 
@@ -191,3 +193,31 @@
     CHECK(process.core().counters().abandoned == 1);
     CHECK(agent.orders() == 0);
 }
+
+// Guards against jobs that run longer than their callers wait, since the time limit begins only
+// when a late process reads the request.
+TEST_CASE_FIXTURE(entry_process_fixture,
+                  "the time limit of a job includes the time before its request was read")
+{
+    connectAgent(false);
+    const auto caller = submitJob("X-Bamboohead-Deadline-Ms: 1000\r\n");
+    std::this_thread::sleep_for(700ms);
+    REQUIRE(runUntil([&] { return process.core().counters().submitted == 1; }));
+    run(600ms);
+    CHECK(process.core().counters().expired == 1);
+}
+
+// Guards against jobs that start although their callers' timeout passed before they were read.
+TEST_CASE_FIXTURE(entry_process_fixture,
+                  "a job whose time limit passed before its request was read is refused")
+{
+    connectAgent(true);
+    auto caller = submitJob("X-Bamboohead-Deadline-Ms: 200\r\n");
+    std::this_thread::sleep_for(400ms);
+    caller.non_blocking(true);
+    std::string response(1'000, ' ');
+    REQUIRE(runUntil([&] { return caller.available() > 0; }));
+    caller.read_some(asio::buffer(response));
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(process.core().counters().submitted == 0);
+}
