--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -406,3 +406,81 @@
     CHECK(second.status() == 503);
     CHECK(fixture.waiting.empty()); // not delivered
 }
+
+// Guards against ends of connections that are detected only after the request before them was
+// handled, or after all bytes in between were read.
+TEST_CASE_FIXTURE(server_fixture, "the end of a connection is known when its request is delivered")
+{
+    std::vector<bool> ended;
+    async_http_server observed{context, "127.0.0.1:0", limits,
+                               [&](http_exchange exchange, const http_server_request &) {
+                                   ended.push_back(observed.disconnected(exchange));
+                               },
+                               [](http_exchange) {}};
+    std::optional<raw_caller> caller;
+    caller.emplace(context, observed.port());
+    SUBCASE("the caller waits")
+    {
+        caller->send(wholeRequest);
+        run();
+        CHECK(ended == std::vector{false});
+        CHECK(observed.counters().earlyDisconnects == 0);
+    }
+    SUBCASE("the caller has closed its connection")
+    {
+        caller->send(wholeRequest);
+        caller.reset();
+        run();
+        CHECK(ended == std::vector{true});
+        CHECK(observed.counters().earlyDisconnects == 1);
+    }
+    SUBCASE("the caller has sent more bytes than one read takes and sends no more")
+    {
+        caller->send(wholeRequest + std::string(40'000, 'x'));
+        caller->finishSending();
+        run();
+        CHECK(ended == std::vector{true});
+    }
+}
+
+// Guards against connections that stay open without a request that could be answered.
+TEST_CASE_FIXTURE(server_fixture, "an abandoned request is counted and closes its connection")
+{
+    answersAtOnce = false;
+    raw_caller caller{context, server.port()};
+    caller.send(wholeRequest);
+    run();
+    REQUIRE(waiting.size() == 1);
+    server.abandon(waiting[0]);
+    run();
+    caller.receive();
+    CHECK(caller.closed());
+    CHECK(server.connections() == 0);
+    CHECK(server.counters().disconnects == 1);
+    CHECK(disconnected.empty());
+}
+
+// Guards against disconnects that are reported only when the event loop gets to their connection.
+TEST_CASE_FIXTURE(server_fixture, "disconnects are reported without the event loop")
+{
+    answersAtOnce = false;
+    std::vector<std::optional<raw_caller>> callers(100); // more than one system call reports
+    for (auto &caller : callers) {
+        caller.emplace(context, server.port());
+        caller->send(wholeRequest);
+    }
+    run(100ms);
+    REQUIRE(waiting.size() == callers.size());
+    server.reportDisconnects();
+    CHECK(disconnected.empty());
+    for (std::size_t index = 1; index < callers.size(); ++index) {
+        callers[index].reset();
+    }
+    server.reportDisconnects();
+    CHECK(disconnected.size() == callers.size() - 1);
+    CHECK(server.connections() == 1);
+    respond(waiting[0]);
+    run();
+    callers[0]->receive();
+    CHECK(callers[0]->status() == 503);
+}
