Reject status reports of a target with numbers out of range

A report from another writer could replace the target of an agent, or shift its clock: numbers above the range of their type were converted without a check. A start time or clock of 2^64-1 became -1, later sums with the clock overflowed, and a run number above 32 bits was cut, so that a row of a listing named another run. A member of another type counted as missing.

In a listing only the row is skipped; a start time out of range makes the whole listing unusable, since the lifetime that replied is unknown, and a clock out of range is ignored. A report without a zone, or with labels that are not a list of names, is malformed too; names and labels are limited, since agents send them on.

Class: unchecked narrowing at the boundary of the process. Deep nesting was ruled out as a cause: Boost.JSON limits the depth to 32.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -277,3 +277,58 @@
     CHECK_FALSE(platform::decodeConfiguration({{"op/config", "x"}}, 1));
     CHECK_FALSE(platform::decodeConfiguration({}, 1));
 }
+
+// Guards against a target or a calculation that is replaced by one with a wrong number: one above
+// the range of its type was cut to the type's width, and one of another type counted as missing.
+TEST_CASE("platform: status reports with numbers out of range are rejected")
+{
+    const auto reportWith = [](const std::string &name, const std::string &value) {
+        auto body = json::parse(R"({"service":"s","address":"10.0.0.9:80","zone":"z",
+            "state":"ready","capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a"],
+            "clockMs":482113,"seq":4,"born":1700000000000})")
+                            .as_object();
+        auto &object = name == "cpu" || name == "memMb" || name == "gpu"
+                               ? body.at("capacity").as_object()
+                               : body;
+        object[name] = json::parse(value);
+        return platform::decodeTargetReport("i-1", json::serialize(body));
+    };
+    for (const std::string name : {"born", "clockMs", "seq", "cpu", "memMb", "gpu"}) {
+        CAPTURE(name);
+        CHECK(reportWith(name, "1"));
+        for (const std::string value : {"18446744073709551615", "9999999999999999", "-1", "1.5",
+                                        "1e300", R"("1")", "null", "[]"}) {
+            CAPTURE(value);
+            CHECK_FALSE(reportWith(name, value));
+        }
+    }
+    for (const std::string value : {R"("a")", R"([1])", R"({"a":1})", "null"}) {
+        CAPTURE(value);
+        CHECK_FALSE(reportWith("labels", value));
+    }
+    CHECK_FALSE(reportWith("zone", "1"));
+    CHECK_FALSE(reportWith("service", '"' + std::string(100'000, 's') + '"'));
+}
+
+// Guards against a row of a listing that is taken for that of another run: its run number was cut
+// to 32 bits.
+TEST_CASE("platform: rows and clocks out of range are skipped, and the rest of a reply holds")
+{
+    const auto reply = platform::decodeTargetReply(call_id{1}, http_call_end::answered,
+                                                   answer(200, R"({"clockMs":18446744073709551615,
+                "running":[["5c0e7a21d94b36f8.0.1.17",4294967298,"",41],
+                           ["5c0e7a21d94b36f8.0.1.18",2,"",41]],
+                "ended":[[18446744073709551615,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+                         [58,"5c0e7a21d94b36f8.0.1.9",4294967297,"done",""],
+                         [59,"5c0e7a21d94b36f8.0.1.8",1,"done",""]]})"));
+    CHECK_FALSE(reply.clockMs);
+    REQUIRE(reply.listing);
+    CHECK(reply.listing->running == std::vector<run_ref>{{{jobId, 1, 18}, 2}});
+    REQUIRE(reply.listing->ended.size() == 1);
+    CHECK(reply.listing->ended[0].number == 59);
+    // The lifetime that replied is not known.
+    CHECK_FALSE(platform::decodeTargetReply(
+                        call_id{1}, http_call_end::answered,
+                        answer(200, R"({"born":18446744073709551615,"running":[],"ended":[]})"))
+                        .listing);
+}
