Call only numeric addresses with a port in range

Addresses that come from outside were parsed in four places: ports were cut to 16 bits, so that 10.0.0.9:70000 was called at port 4464; text after the port was ignored and sent as part of the Host header, line breaks included; an address without a port ended the process when it was bound. The endpoints that the store lists were passed on to ZeroMQ, which also accepts local sockets and names.

parseAddress() and parseEndpoint() now parse all of them: the address in a report (malformed otherwise), the addresses of HTTP calls (not sent) and servers, the settings of the dispatch processes, which their reference already describes as IPv4 addresses, and the list of entries. Endpoints that are not used are counted in the log line members_unusable, which did not exist.

Class: several parsers of one format, each lenient in another way. Names are excluded since their resolution blocks the thread of ZeroMQ.

--- a/src/adapters/async_http_client.cpp
+++ b/src/adapters/async_http_client.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/async_http_client.hpp"
 
+#include "bamboohead/network_address.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -123,19 +125,16 @@
 
     void connect(const pending_call_ptr &pending)
     {
-        const auto colon = pending->address.rfind(':');
-        error_code error;
-        const auto host = asio::ip::make_address(pending->address.substr(0, colon), error);
-        const auto port = std::strtoul(pending->address.c_str() + colon + 1, nullptr, 10);
         pending->stream = std::make_unique<beast::tcp_stream>(m_context);
         pending->stream->expires_at(pending->deadline);
-        if (error || colon == std::string::npos) {
+        const auto address = parseAddress(pending->address);
+        if (!address) {
             asio::post(m_context, [self = shared_from_this(), pending] {
                 self->finish(pending, http_call_end::not_sent);
             });
             return;
         }
-        const tcp::endpoint peer{host, static_cast<std::uint16_t>(port)};
+        const tcp::endpoint peer{asio::ip::address_v4{address->host}, address->port};
         pending->stream->async_connect(peer, [self = shared_from_this(), pending](error_code e) {
             if (e) {
                 self->finish(pending, http_call_end::not_sent);
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/async_http_server.hpp"
 
+#include "bamboohead/network_address.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -7,6 +9,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -35,11 +38,14 @@
     closing,   ///< the last response was sent, and the peer has yet to close the connection
 };
 
-tcp::endpoint parseEndpoint(const std::string &address)
+/// @throw std::invalid_argument When the address is malformed.
+tcp::endpoint boundAddress(const std::string &text)
 {
-    const auto colon = address.rfind(':');
-    return {asio::ip::make_address(address.substr(0, colon)),
-            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    const auto address = parseAddress(text, 0);
+    if (!address) {
+        throw std::invalid_argument{"not an IPv4 address with a port: " + text};
+    }
+    return {asio::ip::address_v4{address->host}, address->port};
 }
 
 } // namespace
@@ -52,7 +58,7 @@
         : m_limits{limits}
         , m_onRequest{std::move(onRequest)}
         , m_onDisconnect{std::move(onDisconnect)}
-        , m_acceptor{context, parseEndpoint(address)}
+        , m_acceptor{context, boundAddress(address)}
         , m_idleCheckTimer{context}
         , m_acceptRetryTimer{context}
     {
--- a/src/adapters/dispatch_loop.cpp
+++ b/src/adapters/dispatch_loop.cpp
@@ -1,5 +1,8 @@
 #include "dispatch_loop.hpp"
 
+#include "bamboohead/logging.hpp"
+#include "bamboohead/network_address.hpp"
+
 namespace bamboohead {
 
 std::string endpointOnHost(const std::string &endpoint, const std::string &address)
@@ -17,4 +20,16 @@
     return endpoints;
 }
 
+std::vector<std::string> usableEndpoints(std::vector<std::string> endpoints)
+{
+    const auto removed = std::erase_if(
+            endpoints, [](const auto &endpoint) { return !parseEndpoint(endpoint).has_value(); });
+    if (removed > 0) {
+        logLine(log_level::warning, "members_unusable",
+                {{"endpoints", std::to_string(removed)},
+                 {"usable", std::to_string(endpoints.size())}});
+    }
+    return endpoints;
+}
+
 } // namespace bamboohead
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -53,6 +53,10 @@
 ///        the port of this process's own endpoint. Any process answers with the entries it knows.
 [[nodiscard]] std::vector<std::string> contactEndpoints(const process_settings &settings);
 
+/// @brief Removes the endpoints that are not numeric TCP endpoints, see parseEndpoint(). Entries
+///        register the endpoint that they have bound, so others come from another writer.
+[[nodiscard]] std::vector<std::string> usableEndpoints(std::vector<std::string> endpoints);
+
 /// @brief Event loop of a dispatch process: connects its core to the messages, the store, signals,
 ///        timers and the admin server (metrics, health and state dump).
 ///
@@ -304,7 +308,7 @@
             }
         }
         if (const auto members = m_store.takeMembers()) {
-            m_core.addEntryEndpoints(*members);
+            m_core.addEntryEndpoints(usableEndpoints(*members));
         }
         sendStoreCalls();
         schedulePass();
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -1,6 +1,7 @@
 #include "bamboohead/settings.hpp"
 
 #include "bamboohead/manifest.hpp"
+#include "bamboohead/network_address.hpp"
 
 #include <algorithm>
 #include <array>
@@ -49,6 +50,11 @@
     return text.empty() || isAddress(text);
 }
 
+bool isNumericAddressOrEmpty(std::string_view text)
+{
+    return text.empty() || parseAddress(text).has_value();
+}
+
 bool isAnyText(std::string_view)
 {
     return true;
@@ -235,21 +241,21 @@
                     "/dispatch/callers", R"("")", "host:port, or empty",
                     "IPv4 address and port that dispatch-entry binds for the platform's callers; "
                     "required for this command.",
-                    isAddressOrEmpty,
+                    isNumericAddressOrEmpty,
                     [](auto &settings, auto value) {
                         settings.dispatch.callers = std::move(value);
                     }),
             textSetting("/dispatch/readiness", R"("")", "host:port, or empty",
                         "IPv4 address and port that dispatch-entry binds for the load balancer's "
                         "readiness checks; required for this command.",
-                        isAddressOrEmpty,
+                        isNumericAddressOrEmpty,
                         [](auto &settings, auto value) {
                             settings.dispatch.readiness = std::move(value);
                         }),
             textSetting("/dispatch/targets", R"("")", "host:port, or empty",
                         "IPv4 address and port that dispatch-agent binds for the reports of its "
                         "target; required for this command.",
-                        isAddressOrEmpty,
+                        isNumericAddressOrEmpty,
                         [](auto &settings, auto value) {
                             settings.dispatch.targets = std::move(value);
                         }),
@@ -257,7 +263,7 @@
                     "/dispatch/store", R"("")", "host:port, or empty",
                     "IPv4 address and port of the platform's store; when empty, the process uses "
                     "no store.",
-                    isAddressOrEmpty,
+                    isNumericAddressOrEmpty,
                     [](auto &settings, auto value) { settings.dispatch.store = std::move(value); }),
             listSetting("/dispatch/contacts", "up to 16 of host:port",
                         "Agents to contact for finding entries; only the hosts are used, with the "
--- a/tests/async_http_client_test.cpp
+++ b/tests/async_http_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -103,3 +104,25 @@
     context.run_for(5s);
     CHECK(taken < 400ms); // the other calls take 500 ms
 }
+
+// Guards against calls to another process than the one that an address names: ports were cut to 16
+// bits, and text after the port was ignored.
+TEST_CASE("HTTP calls to a malformed address are not sent")
+{
+    counting_server server;
+    boost::asio::io_context context;
+    async_http_client client{context};
+    const auto port = server.address().substr(server.address().rfind(':') + 1);
+    for (const auto &address :
+         {"127.0.0.1:" + std::to_string(std::stoul(port) + 65'536), "127.0.0.1:" + port + "x",
+          "127.0.0.1:" + port + "\r\nX: y", std::string{"127.0.0.1"}, std::string{}}) {
+        CAPTURE(address);
+        std::optional<http_call_end> result;
+        client.call(address, get("/"), 1s,
+                    [&](http_call_end end, const http_client_response &) { result = end; });
+        context.restart();
+        context.run_for(2s);
+        CHECK(result == http_call_end::not_sent);
+    }
+    CHECK(server.connections() == 0);
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -332,3 +332,18 @@
                         answer(200, R"({"born":18446744073709551615,"running":[],"ended":[]})"))
                         .listing);
 }
+
+// Guards against calls to another process than the one that an address names: ports were cut to 16
+// bits, and text after the port was ignored.
+TEST_CASE("platform: status reports with an unusable address are rejected")
+{
+    for (const std::string address :
+         {"10.0.0.9:70000", "10.0.0.9:0", "10.0.0.9", "10.0.0.9:", ":80", "", "target.example:80",
+          "10.0.0.9:80\\r\\nX: y", "10.0.0.9:+80", "10.0.0:80", "10.0.0.256:80"}) {
+        CAPTURE(address);
+        CHECK_FALSE(
+                platform::decodeTargetReport("i-1", R"({"service":"s","address":")" + address +
+                                                            R"(","zone":"z","state":"ready","seq":4,
+                               "capacity":{"cpu":16000,"memMb":32768}})"));
+    }
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -81,6 +81,20 @@
     CHECK(connections->message.find("16 to 4096 connections") != std::string::npos);
 }
 
+// Guards against an address that is only found to be unusable when it is bound or called.
+TEST_CASE("addresses of the dispatch processes are numeric")
+{
+    const auto faults =
+            faultsOf(R"({"zone": "graz", "endpoint": "tcp://127.0.0.1:7001", "http": {"port": 8001},
+        "dispatch": {"callers": "localhost:1", "readiness": "localhost:1", "targets": "a:1",
+                     "store": "store.example:2379"}})");
+    for (const std::string name : {"callers", "readiness", "targets", "store"}) {
+        CAPTURE(name);
+        CHECK(findFault(faults, "/dispatch/" + name) != nullptr);
+    }
+    CHECK(faults.size() == 4);
+}
+
 // Guards against misspelt settings that are silently ignored.
 TEST_CASE("unknown keys are faults at any depth")
 {
