Continue lists and watches after items with an unreadable value

One item whose value is not base64 could stop a process from following the store. A page without a readable item ended the list, so that the items of all later pages counted as removed. An event with such a value left the revision of the watch as it was: the store returned the same event at once, and the process repeated the call without a pause at the price of a read each.

Replies now contain the keys and revisions of unreadable items, which are the store's own, and show from where to continue. The last readable value of the key holds. The line store_values_unreadable did not exist; it names the number of items and the first key of a reply.

Class: the position in a sequence was taken from the decoded rows only.

--- a/include/bamboohead/dispatch/store_calls.hpp
+++ b/include/bamboohead/dispatch/store_calls.hpp
@@ -100,10 +100,12 @@
 {
     call_id id{};
     store_status status = store_status::unanswered;
-    std::vector<store_item> items; ///< for list_area and watch_area
-    bool more = false;             ///< further pages follow
-    std::uint64_t revision = 0;    ///< revision of the whole store at the time of the reply
-    std::uint64_t lease = 0;       ///< for grant_lease
+    std::vector<store_item> items; ///< for list_area and watch_area, without unreadable ones
+    /// Items with a key and a revision whose values cannot be read; their `value` is empty.
+    std::vector<store_item> unreadable;
+    bool more = false;          ///< further pages follow
+    std::uint64_t revision = 0; ///< revision of the whole store at the time of the reply
+    std::uint64_t lease = 0;    ///< for grant_lease
 };
 
 } // namespace bamboohead
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -35,7 +35,7 @@
 
 /// @brief Keeps a local copy of one area of the store: lists its items, then watches for changes,
 ///        and lists them again when the store no longer has the history since the last known
-///        revision.
+///        revision. While the value of a key cannot be read, its last readable value holds.
 class area_follower
 {
 public:
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -67,9 +67,15 @@
 {
     for (const auto &item : reply.items) {
         m_partialItems.insert_or_assign(item.key, item.value);
-        m_lastKey = item.key;
+        m_lastKey = std::max(m_lastKey, item.key);
     }
-    if (reply.more && !reply.items.empty()) {
+    for (const auto &item : reply.unreadable) {
+        if (const auto known = m_items.find(item.key); known != m_items.end()) {
+            m_partialItems.insert(*known);
+        }
+        m_lastKey = std::max(m_lastKey, item.key);
+    }
+    if (reply.more) {
         return false;
     }
     const bool changed = m_partialItems != m_items || m_revision == 0;
@@ -86,9 +92,12 @@
 
 bool area_follower::handleWatchReply(const store_reply &reply)
 {
+    // Only the revision of an event proves that all earlier events have been received. The revision
+    // of a reply does not: a watch may return before it has received recent events.
+    for (const auto &item : reply.unreadable) {
+        m_revision = std::max(m_revision, item.revision);
+    }
     for (const auto &item : reply.items) {
-        // Only the revision of an event proves that all earlier events have been received. The
-        // revision of a reply does not: a watch may return before it has received recent events.
         m_revision = std::max(m_revision, item.revision);
         if (item.removed) {
             m_items.erase(item.key);
@@ -232,6 +241,13 @@
     } else if (m_registration && m_registration->awaits(reply.id)) {
         m_registration->handle(reply);
     }
+    if (!reply.unreadable.empty()) {
+        const auto &first = reply.unreadable.front();
+        m_events.push_back({"store_values_unreadable",
+                            {{"items", std::to_string(reply.unreadable.size())},
+                             {"key", first.key},
+                             {"revision", std::to_string(first.revision)}}});
+    }
     tick();
 }
 
--- /dev/null
+++ b/tests/malformed_entries_test.cpp
@@ -0,0 +1,117 @@
+#include "bamboohead/dispatch/store_follower.hpp"
+#include "platform/store_api.hpp"
+
+#include <doctest/doctest.h>
+
+#include <boost/json.hpp>
+
+#include <random>
+
+using namespace bamboohead;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+/// A follower of the configuration whose calls are answered with bodies as the store sends them.
+class configuration_fixture
+{
+public:
+    configuration_fixture()
+        : follower{options(), time}
+    {}
+
+    static store_follower_options options()
+    {
+        store_follower_options made;
+        made.followConfiguration = true;
+        made.watchMembers = true;
+        return made;
+    }
+
+    /// Removes and returns the call for the configuration that is due; nothing when there is none.
+    std::optional<store_request> nextCall()
+    {
+        follower.tick();
+        for (auto &call : follower.takeCalls()) {
+            const auto *const list = std::get_if<list_area>(&call);
+            const auto *const watch = std::get_if<watch_area>(&call);
+            if ((list != nullptr && list->area == store_area::configuration) ||
+                (watch != nullptr && watch->area == store_area::configuration)) {
+                pending = std::move(call);
+            }
+        }
+        return std::exchange(pending, std::nullopt);
+    }
+
+    void reply(const store_request &call, const json::object &body)
+    {
+        http_client_response response{http::status::ok, 11};
+        response.body() = json::serialize(body);
+        follower.handle(platform::decodeStoreReply(platform::headerOf(call).id,
+                                                   http_call_end::answered, response));
+    }
+
+    manual_clock time;
+    store_follower follower;
+    std::optional<store_request> pending;
+};
+
+json::object item(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return {{"key", key}, {"value", value}, {"revision", revision}};
+}
+
+const std::string unreadableValue = "***"; // not base64
+
+} // namespace
+
+// Guards against a list that ends at a page of which no item can be read, so that all items of the
+// later pages count as removed.
+TEST_CASE("a page without a readable item does not end the list")
+{
+    configuration_fixture fixture;
+    auto call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, {{"items", json::array{item("op/a", unreadableValue, 5)}},
+                          {"hasMore", true},
+                          {"currentRev", 9}});
+    CHECK_FALSE(fixture.follower.takeConfiguration());
+    call = fixture.nextCall();
+    REQUIRE(call);
+    const auto *const second = std::get_if<list_area>(&*call);
+    REQUIRE(second != nullptr);
+    CHECK(second->after == "op/a");
+    fixture.reply(*call, {{"items", json::array{item("op/config", "e30=", 6)}}, {"currentRev", 9}});
+    const auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.contains("op/config"));
+}
+
+// Guards against a watch that is repeated without a pause, since the store returns the same event
+// as long as its revision is not acknowledged.
+TEST_CASE("a watch continues after an event with an unreadable value, and the last value holds")
+{
+    configuration_fixture fixture;
+    auto call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, {{"items", json::array{item("op/config", "e30=", 6)}}, {"currentRev", 9}});
+    (void)fixture.follower.takeConfiguration();
+    call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, {{"events", json::array{item("op/config", unreadableValue, 10)}},
+                          {"currentRev", 10}});
+    CHECK_FALSE(fixture.follower.takeConfiguration());
+    call = fixture.nextCall();
+    REQUIRE(call);
+    const auto *const watch = std::get_if<watch_area>(&*call);
+    REQUIRE(watch != nullptr);
+    CHECK(watch->revision == 10);
+    fixture.reply(*call,
+                  {{"events", json::array{item("op/evacuate/z", "e30=", 11)}}, {"currentRev", 11}});
+    const auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.at("op/config") == "{}");
+    CHECK(read->first.contains("op/evacuate/z"));
+}
