Pause before lists and watches of the store that do not advance

A list whose pages begin again at the same key never ended, and a watch that returned only events without key or revision was repeated at once. The process made calls without a pause, which the store counts and refuses beyond its rate, and kept the configuration of the time before.

A page that does not advance beyond the one before, and a watch without a usable event, now count as failed calls: the area is listed again after the delay of failed calls, which doubles. A failure counts until a list or watch is complete, so the line store_lost shows it.

Class: a loop whose progress depends on the content of the replies.

--- a/include/bamboohead/dispatch/store_calls.hpp
+++ b/include/bamboohead/dispatch/store_calls.hpp
@@ -103,6 +103,7 @@
     std::vector<store_item> items; ///< for list_area and watch_area, without unreadable ones
     /// Items with a key and a revision whose values cannot be read; their `value` is empty.
     std::vector<store_item> unreadable;
+    std::size_t malformed = 0;  ///< number of items without a key or revision
     bool more = false;          ///< further pages follow
     std::uint64_t revision = 0; ///< revision of the whole store at the time of the reply
     std::uint64_t lease = 0;    ///< for grant_lease
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -58,8 +58,10 @@
     }
     /// @brief Revision of the store up to which the items are complete; 0 before the first list.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
-    /// @brief Whether the newest call has failed. A watch that ends with the status `gone` leaves
-    ///        the value unchanged.
+    /// @brief Whether a call has failed since the last complete list or watch. A list fails when a
+    ///        page does not advance beyond the one before, a watch when it returns only events
+    ///        without key or revision. A watch that ends with the status `gone` leaves the value
+    ///        unchanged.
     [[nodiscard]] bool failing() const noexcept { return m_failures > 0; }
     /// @brief Selects the poll interval of an area that is not watched: the disconnected one (true)
     ///        or the connected one. A change to true makes a poll due at once.
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -52,8 +52,15 @@
 {
     m_pending.reset();
     if (reply.status == store_status::ok) {
-        m_failures = 0;
-        return m_listing ? handleListReply(reply) : handleWatchReply(reply);
+        if (m_listing) {
+            return handleListReply(reply);
+        }
+        if (reply.malformed > 0 && reply.items.empty() && reply.unreadable.empty()) {
+            m_listing = true; // the store would return the same events again at once
+            handleFailure();
+            return false;
+        }
+        return handleWatchReply(reply);
     }
     if (reply.status == store_status::gone && !m_listing) {
         m_listing = true;
@@ -65,6 +72,7 @@
 
 bool area_follower::handleListReply(const store_reply &reply)
 {
+    const auto after = m_lastKey;
     for (const auto &item : reply.items) {
         m_partialItems.insert_or_assign(item.key, item.value);
         m_lastKey = std::max(m_lastKey, item.key);
@@ -76,8 +84,12 @@
         m_lastKey = std::max(m_lastKey, item.key);
     }
     if (reply.more) {
+        if (m_lastKey <= after) {
+            handleFailure(); // the next page would be this one again
+        }
         return false;
     }
+    m_failures = 0;
     const bool changed = m_partialItems != m_items || m_revision == 0;
     m_items = std::exchange(m_partialItems, {});
     m_lastKey.clear();
@@ -92,6 +104,7 @@
 
 bool area_follower::handleWatchReply(const store_reply &reply)
 {
+    m_failures = 0;
     // Only the revision of an event proves that all earlier events have been received. The revision
     // of a reply does not: a watch may return before it has received recent events.
     for (const auto &item : reply.unreadable) {
--- a/tests/malformed_entries_test.cpp
+++ b/tests/malformed_entries_test.cpp
@@ -115,3 +115,43 @@
     CHECK(read->first.at("op/config") == "{}");
     CHECK(read->first.contains("op/evacuate/z"));
 }
+
+// Guards against calls without a pause when an event has no revision from which to continue.
+TEST_CASE("the area is listed again, after a delay, when a watch returns no usable event")
+{
+    configuration_fixture fixture;
+    auto call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, {{"items", json::array{}}, {"currentRev", 9}});
+    call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call,
+                  {{"events", json::array{json::object{{"key", "op/a"}}, 7}}, {"currentRev", 10}});
+    CHECK_FALSE(fixture.nextCall());
+    fixture.time.advance(1s);
+    call = fixture.nextCall();
+    REQUIRE(call);
+    CHECK(std::holds_alternative<list_area>(*call));
+}
+
+// Guards against a list that never ends and is continued without a pause: each page begins again
+// at the same key.
+TEST_CASE("a list whose pages do not advance is begun again after a delay")
+{
+    configuration_fixture fixture;
+    const json::object page{
+            {"items", json::array{item("op/a", "e30=", 5)}}, {"hasMore", true}, {"currentRev", 9}};
+    auto call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, page);
+    call = fixture.nextCall();
+    REQUIRE(call);
+    fixture.reply(*call, page);
+    CHECK_FALSE(fixture.nextCall());
+    fixture.time.advance(1s);
+    call = fixture.nextCall();
+    REQUIRE(call);
+    CHECK(std::get<list_area>(*call).after.empty());
+    fixture.reply(*call, {{"items", json::array{item("op/a", "e30=", 5)}}, {"currentRev", 9}});
+    CHECK(fixture.follower.takeConfiguration());
+}
