--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -356,3 +356,21 @@
     CHECK(platform::encode(store_request{list}).target() ==
           "/kv-range?prefix=op/&after=op/a%20b%26c%23%25%0D%0A%C3%A9");
 }
+
+// Guards against routes with another priority or number of attempts than the operators': numbers
+// were cut to 32 bits, so that a large one became 0.
+TEST_CASE("platform: large numbers of a route are limited")
+{
+    const auto state = platform::decodeConfiguration(
+            {{"op/config", R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s",
+                "priority":4294967296,"maxAttempts":4294967296}],
+                "limits":{"maxBodyBytes":4294967296}})"}},
+            40);
+    REQUIRE(state);
+    REQUIRE(state->routes.size() == 1);
+    CHECK(state->routes[0].priority > 1'000'000);
+    CHECK(state->routes[0].maxAttempts > 1'000'000);
+    const auto copy = decodeDesiredState(encode(*state));
+    REQUIRE(copy);
+    CHECK(copy->maxBodyBytes >= 4'294'967'295);
+}
