Try all known contacts in turn

At most 64 contacts were kept, and none was ever replaced. With 64 endpoints of no process in the store's list, a process found no entry that registered later, or whose key came after them.

The newest 1,024 endpoints are now known, of which 64 are contacted at a time. While others are known, one without a live link for 5 s, ten hellos, is replaced by the next one, so the number of connections that are opened for endpoints without a process stays limited.

Class: a bounded table that keeps its first items. Raising the bound alone was ruled out: each contact costs a socket.

--- a/include/bamboohead/dispatch/fleet_member.hpp
+++ b/include/bamboohead/dispatch/fleet_member.hpp
@@ -5,6 +5,7 @@
 #include "bamboohead/dispatch/dispatch_action.hpp"
 #include "bamboohead/link_table.hpp"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -34,7 +35,9 @@
     ///        that is at most 7 s old, and removes peers without a message for 10 s.
     void tick();
 
-    /// @brief Adds endpoints of processes to ask for the entries; at most 64 are kept.
+    /// @brief Adds endpoints of processes to ask for the entries; the newest 1,024 are known. At
+    ///        most 64 are contacted at a time: one without a live link for 5 s is replaced when
+    ///        others are known.
     void addContacts(const std::vector<std::string> &endpoints);
 
     /// @brief Replaces the desired state by one from the store or a peer if that is newer. Of a
@@ -94,6 +97,15 @@
                         member.zone());
         }
     }
+    /// A process that is asked for the entries.
+    struct contact
+    {
+        time_point lastHello;
+        time_point lastLive; ///< when it had a live link, or else was added
+    };
+
+    void replaceSilentContacts();
+    void addNextContact();
     void sendHelloTo(const std::string &endpoint);
     [[nodiscard]] bool hasLiveLink(const std::string &endpoint) const;
     void removeSilentPeers();
@@ -101,7 +113,10 @@
     const clock &m_clock;
     link_table m_links;
     desired_state m_config;
-    std::map<std::string, time_point> m_contacts; ///< time of the last hello by endpoint
+    std::map<std::string, contact> m_contacts; ///< by endpoint; those that are contacted now
+    /// Known endpoints, most recently added first; includes those in `m_contacts`.
+    std::deque<std::string> m_knownEndpoints;
+    std::size_t m_nextKnown = 0; ///< index of the next known endpoint to contact
     /// Time of the last request for the state of each peer.
     std::map<incarnation_id, time_point> m_lastPulls;
     std::vector<dispatch_action> m_actions;
--- a/src/dispatch/fleet_member.cpp
+++ b/src/dispatch/fleet_member.cpp
@@ -15,6 +15,10 @@
 constexpr duration maxLinkEchoAge = 7s;
 constexpr duration silentPeerTimeout = 10s; ///< peers without a message for this long are removed
 constexpr std::size_t maxContacts = 64;
+/// Bounds the memory for endpoints; more than the entries of the largest fleet.
+constexpr std::size_t maxKnownEndpoints = 1'024;
+/// Time without a live link after which a contact may be replaced; ten hellos.
+constexpr duration contactTrial = 5s;
 
 } // namespace
 
@@ -71,9 +75,15 @@
 void fleet_member::tick()
 {
     const auto now = m_clock.now();
-    for (auto &[endpoint, lastHello] : m_contacts) {
-        if (now - lastHello >= helloInterval && !hasLiveLink(endpoint)) {
-            lastHello = now;
+    replaceSilentContacts();
+    for (auto &[endpoint, each] : m_contacts) {
+        if (now - each.lastHello < helloInterval) {
+            continue;
+        }
+        if (hasLiveLink(endpoint)) {
+            each.lastLive = now;
+        } else {
+            each.lastHello = now;
             sendHelloTo(endpoint);
         }
     }
@@ -119,10 +129,42 @@
 void fleet_member::addContacts(const std::vector<std::string> &endpoints)
 {
     for (const auto &endpoint : endpoints) {
-        if (m_contacts.size() < maxContacts && endpoint != self().endpoint) {
-            m_contacts.try_emplace(endpoint);
+        if (endpoint != self().endpoint) {
+            std::erase(m_knownEndpoints, endpoint);
+            m_knownEndpoints.push_front(endpoint);
         }
     }
+    m_knownEndpoints.resize(std::min(m_knownEndpoints.size(), maxKnownEndpoints));
+    m_nextKnown = 0;
+    while (m_contacts.size() < std::min(maxContacts, m_knownEndpoints.size())) {
+        addNextContact();
+    }
+}
+
+/// Contacts the next known endpoint that is not contacted yet; there has to be one.
+void fleet_member::addNextContact()
+{
+    while (m_contacts.contains(m_knownEndpoints[m_nextKnown % m_knownEndpoints.size()])) {
+        ++m_nextKnown;
+    }
+    m_contacts.emplace(m_knownEndpoints[m_nextKnown % m_knownEndpoints.size()],
+                       contact{{}, m_clock.now()});
+    ++m_nextKnown;
+}
+
+/// The endpoints of a list may belong to no process; with more of them than `maxContacts`, the
+/// others would never be tried.
+void fleet_member::replaceSilentContacts()
+{
+    if (m_knownEndpoints.size() <= m_contacts.size()) {
+        return;
+    }
+    const auto removed = std::erase_if(m_contacts, [&](const auto &item) {
+        return m_clock.now() - item.second.lastLive >= contactTrial;
+    });
+    for (std::size_t i = 0; i < removed; ++i) {
+        addNextContact();
+    }
 }
 
 bool fleet_member::adopt(const desired_state &newer, std::string_view source)
