Keep the connection to a silent peer when no socket can be opened

The replacement of the connection to a silent peer opens a socket before it closes the old one. ZeroMQ opens at most 1,023 sockets; with as many peers the exception ended the process. The first connection to a peer already handled it. The connection is now kept and replaced by a later pass of maintain().

Class: an exception on the thread of the event loop.

Evidence: before the change failed CHECK_NOTHROW( a.maintain() ) THREW exception: "Too many open files" Ruled out: an endpoint that ZeroMQ rejects does not get here, since it is rejected at the first connection.

--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -168,7 +168,7 @@
 
 private:
     /// Returns the peer of an endpoint and starts to connect to it if it is new.
-    /// @return Null when the endpoint is malformed.
+    /// @return Null when the endpoint is malformed or no socket can be opened.
     peer *findOrConnect(const std::string &endpoint)
     {
         const auto found = m_peers.find(endpoint);
@@ -185,7 +185,7 @@
         return &m_peers.emplace(endpoint, std::move(created)).first->second;
     }
 
-    /// @throw zmq::error_t When the endpoint is malformed.
+    /// @throw zmq::error_t When ZeroMQ rejects the endpoint, or no socket can be opened.
     zmq::socket_t connectTo(const std::string &endpoint)
     {
         zmq::socket_t socket{m_context, zmq::socket_type::dealer};
@@ -200,9 +200,15 @@
 
     /// Replaces the connection to a peer that has fallen silent: the peer may have restarted, or
     /// the path was interrupted, without an end of the connection that TCP would notice soon.
+    /// When no socket can be opened, the connection is kept and replaced by a later pass.
     void reconnect(const std::string &endpoint, peer &recipient)
     {
-        recipient.socket = connectTo(endpoint);
+        try {
+            recipient.socket = connectTo(endpoint);
+        } catch (const zmq::error_t &) {
+            ++m_counters.dropped;
+            return;
+        }
         recipient.wasConnected = false;
         recipient.lastReceived.reset();
         ++m_counters.peersReconnected;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -201,4 +201,31 @@
     CHECK(a.peers() == 0);
 }
 
+// Guards against an exception that ends the process when no further socket can be opened.
+TEST_CASE("a silent peer keeps its connection while no socket is available")
+{
+    manual_clock clock;
+    transport a{anyPort, clock};
+    transport b{anyPort, clock};
+    a.send(b.endpoint(), envelopeWith(1));
+    auto answer = envelopeWith(2);
+    answer.set_endpoint(b.endpoint());
+    b.send(a.endpoint(), answer);
+    REQUIRE(pollUntil(a, [&] {
+        b.maintain();
+        clock.advance(std::chrono::milliseconds{10});
+        return a.counters().received > 0;
+    }));
+    constexpr int firstPort = 20'000;
+    constexpr int maxSockets = 1'100; // more than ZeroMQ opens, 1,023
+    for (int i = 0; i < maxSockets && a.counters().dropped == 0; ++i) {
+        a.send("tcp://127.0.0.2:" + std::to_string(firstPort + i), envelopeWith(3));
+    }
+    REQUIRE(a.counters().dropped == 1);
+    clock.advance(peerSilenceLimit);
+    a.send(b.endpoint(), envelopeWith(4));
+    CHECK_NOTHROW(a.maintain());
+    CHECK(a.counters().peersReconnected == 0);
+}
+
 } // namespace bamboohead
