Check that readable items are followed among malformed ones

200 seeds mix unreadable values and items without key or revision into the pages of a list and the events of watches; the follower must hold the last readable value of each key and continue each watch from the newest revision.

--- a/tests/malformed_entries_test.cpp
+++ b/tests/malformed_entries_test.cpp
@@ -1,10 +1,13 @@
 #include "bamboohead/dispatch/store_follower.hpp"
+#include "base64.hpp"
 #include "platform/store_api.hpp"
 
 #include <doctest/doctest.h>
 
 #include <boost/json.hpp>
 
+#include <array>
+#include <map>
 #include <random>
 
 using namespace bamboohead;
@@ -155,3 +158,53 @@
     fixture.reply(*call, {{"items", json::array{item("op/a", "e30=", 5)}}, {"currentRev", 9}});
     CHECK(fixture.follower.takeConfiguration());
 }
+
+// Guards against items of another writer that hide others, in any order and number.
+TEST_CASE("readable items are followed among malformed ones in lists and watches")
+{
+    constexpr unsigned seeds = 200;
+    constexpr std::size_t changes = 30;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random{seed};
+        const auto below = [&](unsigned limit) { return static_cast<unsigned>(random() % limit); };
+        std::map<std::string, std::string> expected;
+        std::uint64_t revision = 10;
+        // A change of a key, unreadable in one of three cases; then the earlier value holds.
+        const auto change = [&](const std::string &key) {
+            const bool readable = below(3) != 0;
+            if (readable) {
+                expected[key] = std::string(1, static_cast<char>('a' + below(26)));
+            }
+            const auto value = readable ? detail::encodeBase64(expected[key]) : unreadableValue;
+            return item(key, value, ++revision);
+        };
+        const std::array<json::value, 4> malformed{7, nullptr, json::object{{"value", "e30="}},
+                                                   json::object{{"key", 7}, {"revision", "x"}}};
+        configuration_fixture fixture;
+        // Two digits, so that the order of the keys is that of the numbers.
+        for (unsigned first = 10; first < 40; first += 10) {
+            json::array page;
+            for (unsigned i = first; i < first + 10; ++i) {
+                page.emplace_back(change("op/" + std::to_string(i)));
+                page.emplace_back(malformed.at(below(malformed.size())));
+            }
+            const auto call = fixture.nextCall();
+            REQUIRE(call);
+            fixture.reply(*call,
+                          {{"items", page}, {"hasMore", first < 30}, {"currentRev", revision}});
+        }
+        for (std::size_t i = 0; i < changes; ++i) {
+            const auto call = fixture.nextCall();
+            REQUIRE(call);
+            REQUIRE(std::holds_alternative<watch_area>(*call));
+            CHECK(std::get<watch_area>(*call).revision == revision);
+            json::array events{malformed.at(below(malformed.size()))};
+            events.emplace_back(change("op/" + std::to_string(10 + below(40))));
+            fixture.reply(*call, {{"events", events}, {"currentRev", revision}});
+        }
+        const auto read = fixture.follower.takeConfiguration();
+        REQUIRE(read);
+        CHECK(read->first == expected);
+    }
+}
