--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -52,8 +52,15 @@
 {
     m_pending.reset();
     if (reply.status == store_status::ok) {
-        m_failures = 0;
-        return m_listing ? handleListReply(reply) : handleWatchReply(reply);
+        if (m_listing) {
+            return handleListReply(reply);
+        }
+        if (reply.malformed > 0 && reply.items.empty() && reply.unreadable.empty()) {
+            m_listing = true; // the store would return the same events again at once
+            handleFailure();
+            return false;
+        }
+        return handleWatchReply(reply);
     }
     if (reply.status == store_status::gone && !m_listing) {
         m_listing = true;
@@ -65,13 +72,24 @@
 
 bool area_follower::handleListReply(const store_reply &reply)
 {
+    const auto after = m_lastKey;
     for (const auto &item : reply.items) {
         m_partialItems.insert_or_assign(item.key, item.value);
-        m_lastKey = item.key;
+        m_lastKey = std::max(m_lastKey, item.key);
     }
-    if (reply.more && !reply.items.empty()) {
+    for (const auto &item : reply.unreadable) {
+        if (const auto known = m_items.find(item.key); known != m_items.end()) {
+            m_partialItems.insert(*known);
+        }
+        m_lastKey = std::max(m_lastKey, item.key);
+    }
+    if (reply.more) {
+        if (m_lastKey <= after) {
+            handleFailure(); // the next page would be this one again
+        }
         return false;
     }
+    m_failures = 0;
     const bool changed = m_partialItems != m_items || m_revision == 0;
     m_items = std::exchange(m_partialItems, {});
     m_lastKey.clear();
@@ -86,9 +104,13 @@
 
 bool area_follower::handleWatchReply(const store_reply &reply)
 {
+    m_failures = 0;
+    // Only the revision of an event proves that all earlier events have been received. The revision
+    // of a reply does not: a watch may return before it has received recent events.
+    for (const auto &item : reply.unreadable) {
+        m_revision = std::max(m_revision, item.revision);
+    }
     for (const auto &item : reply.items) {
-        // Only the revision of an event proves that all earlier events have been received. The
-        // revision of a reply does not: a watch may return before it has received recent events.
         m_revision = std::max(m_revision, item.revision);
         if (item.removed) {
             m_items.erase(item.key);
@@ -232,6 +254,13 @@
     } else if (m_registration && m_registration->awaits(reply.id)) {
         m_registration->handle(reply);
     }
+    if (!reply.unreadable.empty()) {
+        const auto &first = reply.unreadable.front();
+        m_events.push_back({"store_values_unreadable",
+                            {{"items", std::to_string(reply.unreadable.size())},
+                             {"key", first.key},
+                             {"revision", std::to_string(first.revision)}}});
+    }
     tick();
 }
 
