Tell runs of different entries with the same name apart

Run numbers begin anew with each entry and each resubmission, so two entries may use the same name for different runs. The agent ignored an order whose run it held for another entry: the entry got no answer and took its run for lost only with the next full report. A stop of one entry also stopped the run of the other. Class of fault: an identifier that is unique within its issuer is used without the issuer.

The order is now refused as order_duplicate, as it is when the run numbers differ, and a stop of another entry's run is ignored. A refusal no longer passes through the table of runs, where the name is taken.

Ruled out by reading: an end that the target lists is not taken for a later run with the same name, since ends are numbered and the target refuses a run that is not newer than one that has ended there.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -201,6 +201,9 @@
     void handleRunEnd(const run_outcome &end);
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
                 bool crashPossible = false);
+    /// Adds the end of a run to the reports to an entry.
+    void reportEnd(incarnation_id receiver, const run_ref &ref, wire::RunOutcome outcome,
+                   error_kind error, duration runTime, bool crashPossible);
     void count(wire::RunOutcome outcome, duration runTime);
     entry_state &findOrAddEntry(incarnation_id entry);
     void sendReports();
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -67,7 +67,11 @@
     }
     entry.idleInterval = idleInterval;
     for (const auto &stop : message.stops()) {
-        stopRun(fromWire(stop), m_member.now());
+        const auto ref = fromWire(stop);
+        const auto held = m_runs.find(ref);
+        if (held != m_runs.end() && held->second.entry == sender) {
+            stopRun(ref, m_member.now());
+        }
     }
     const bool fresh = received.age && *received.age <= m_options.limits.maxOrderAge;
     // Messages on a new connection may arrive before older ones, which are then ignored.
@@ -167,25 +171,24 @@
                                  const wire::RunTask &task, bool fresh)
 {
     const run_ref ref{{batch_job_id{order.job()}, order.step(), task.index()}, task.run()};
-    if (m_runs.contains(ref)) {
+    // Run numbers begin anew with each entry, so another one may have ordered a run with this name.
+    const auto held = m_runs.find(ref);
+    if (held != m_runs.end() && held->second.entry == entry) {
         return;
     }
-    const auto demand = fromWire(order.demand());
     const auto refusal = refusalReason(ref, order, fresh);
-    agent_run run;
-    run.entry = entry;
-    run.demand = demand;
     if (refusal != error_kind::none) {
         m_member.log("order_refused",
                      {{"run", toText(ref)},
                       {"entry", toText(entry)},
                       {"reason", std::string{errorInfo(refusal).name}},
                       {"running_cpu", std::to_string(m_session.committed().cpuMillis)}});
-        run.queued = false;
-        m_runs.emplace(ref, std::move(run));
-        endRun(ref, wire::RUN_OUTCOME_REFUSED, refusal, {});
+        reportEnd(entry, ref, wire::RUN_OUTCOME_REFUSED, refusal, {}, false);
         return;
     }
+    agent_run run;
+    run.entry = entry;
+    run.demand = fromWire(order.demand());
     run.spec = order.spec();
     run.suspect = order.suspect();
     run.key = {order.priority(), ++m_lastQueueNumber};
@@ -390,8 +393,16 @@
     if (run.queued) {
         dequeue(run);
     }
+    reportEnd(run.entry, ref, outcome, error, runTime, crashPossible);
+    m_runs.erase(found);
+}
+
+void dispatch_agent::reportEnd(incarnation_id receiver, const run_ref &ref,
+                               wire::RunOutcome outcome, error_kind error, duration runTime,
+                               bool crashPossible)
+{
     count(outcome, runTime);
-    auto &entry = findOrAddEntry(run.entry);
+    auto &entry = findOrAddEntry(receiver);
     wire::RunEnd end;
     end.set_number(++entry.newestEndNumber);
     toWire(ref, *end.mutable_run());
@@ -402,10 +413,9 @@
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
-                               {"entry", toText(run.entry)},
+                               {"entry", toText(receiver)},
                                {"outcome", wire::RunOutcome_Name(outcome)},
                                {"run_ms", std::to_string(toMilliseconds(runTime))}});
-    m_runs.erase(found);
 }
 
 void dispatch_agent::count(wire::RunOutcome outcome, duration runTime)
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -381,3 +381,30 @@
     CHECK(fixture.longestLeaseMs(reply.clockMs.value()) <= 540);
     CHECK(fixture.startCalls == std::vector<std::uint32_t>{1});
 }
+
+// Guards against an order that is dropped without an answer because another entry uses the same run
+// number: the entry that sent it then takes the run for lost.
+TEST_CASE("an order for a run that is held for another entry is refused")
+{
+    dispatch_agent_fixture fixture;
+    fixture.order(0, {1'000, 64, 0});
+    REQUIRE(fixture.started.size() == 1);
+    fixture.order(0, {1'000, 64, 0}, true, false, incarnation_id{3});
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_REFUSED);
+    CHECK(errorFromWire(fixture.ends.at(0).error()) == error_kind::order_duplicate);
+    CHECK(fixture.target.running().size() == 1);
+}
+
+// Guards against an entry that stops the run of another one under the same run number.
+TEST_CASE("a stop of another entry's run is ignored")
+{
+    dispatch_agent_fixture fixture;
+    fixture.order(0, {1'000, 64, 0});
+    auto stop = fixture.message(incarnation_id{3});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    CHECK(fixture.target.running().size() == 1);
+    CHECK_FALSE(fixture.ends.contains(0));
+}
