Detect a lifetime of the target whose start time is lower than its predecessor's

What callers could see: a target that is used as if nothing had happened after it has restarted with a clock that was set back. Its reports and listings were ignored as delayed, while each listing still refreshed the age of the newest one. The session counted as ready, its lost runs stayed at work until their time limit, ends were not seen, and a late start that the new lifetime executed was never stopped, so its task could execute twice.

Class: the order of two readings of a clock that can be set back stands for the order of events.

The order of the calls decides instead. Pending calls are forgotten when a lifetime becomes known, so a reply that is handled is to a call made after that, and a listing with another start time is from a later lifetime. Only a listing of the current lifetime counts as an answer. A listing without a start time proves nothing.

Replies to start calls carry no start time.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -243,6 +243,7 @@
     void raiseFence(std::uint64_t step);
     void handleStartReply(const pending_call &call, const target_reply &reply);
     void handleListReply(const pending_call &call, const target_reply &reply);
+    void handleOtherLifetime(const run_listing &listing);
     void applyListing(const pending_call &call, const run_listing &listing);
     void applyEnds(const std::vector<listed_end> &ended);
     void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -556,6 +556,10 @@
 void target_session::handleListReply(const pending_call &call, const target_reply &reply)
 {
     if (reply.status == call_status::accepted && reply.listing) {
+        if (reply.listing->startedMs != m_target->lifetime.startedMs) {
+            handleOtherLifetime(*reply.listing);
+            return;
+        }
         if (m_listFailures >= maxListFailures) {
             log("target_answers_again", {{"target", m_target->lifetime.id}});
         }
@@ -587,24 +591,28 @@
     m_nextList = m_nextFenceRaise;
 }
 
-void target_session::applyListing(const pending_call &call, const run_listing &listing)
+/// Handles a listing of another lifetime than the current one. Only replies to calls that were made
+/// after the current lifetime was known get here, see beginLifetime(), so the listing is from a
+/// later lifetime whatever the start times: the clock may have been set back before the restart.
+void target_session::handleOtherLifetime(const run_listing &listing)
 {
-    if (listing.startedMs != m_target->lifetime.startedMs) {
-        if (listing.startedMs > m_target->lifetime.startedMs) {
-            auto restarted = *m_target;
-            restarted.lifetime.startedMs = listing.startedMs;
-            restarted.sequence = 0;
-            restarted.clockMs.reset();
-            beginLifetime(restarted);
-            m_lastReport.reset();
-        } else {
-            logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs},
-                       "earlier_start",
-                       {{"running", std::to_string(listing.running.size())},
-                        {"ended", std::to_string(listing.ended.size())}});
-        }
+    if (listing.startedMs == 0) {
+        logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs}, "no_start_time",
+                   {{"running", std::to_string(listing.running.size())},
+                    {"ended", std::to_string(listing.ended.size())}});
+        m_nextList = m_clock.now() + retryDelay;
         return;
     }
+    auto restarted = *m_target;
+    restarted.lifetime.startedMs = listing.startedMs;
+    restarted.sequence = 0;
+    restarted.clockMs.reset();
+    beginLifetime(restarted);
+    m_lastReport.reset();
+}
+
+void target_session::applyListing(const pending_call &call, const run_listing &listing)
+{
     const std::set<run_ref> running{listing.running.begin(), listing.running.end()};
     m_lapsed.clear();
     std::erase_if(m_crashed, [&](const auto &run) {
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -810,3 +810,84 @@
     CHECK(fixture.session.ready());
     CHECK(fixture.time.now() - reported == 10ms);
 }
+
+// Guards against a target that is used as if nothing had happened after it has restarted with a
+// clock that was set back: its reports and listings counted as outdated.
+TEST_CASE("a lifetime with a lower start time than its predecessor is detected")
+{
+    session_fixture fixture;
+    fixture.target.restart("i-1", 5'000, fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(100ms);
+    REQUIRE(fixture.target.running().contains(refOf(0)));
+    auto delayed = fixture.target.report(fixture.time.now());
+    delayed.sequence += 10;
+    std::string id = "i-1";
+    SUBCASE("under the same id")
+    {}
+    SUBCASE("under another id")
+    {
+        id = "i-2";
+    }
+    fixture.target.restart(id, 2'000, fixture.time.now());
+    fixture.executeLateStart(refOf(1), id);
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(200ms);
+    CHECK(fixture.session.target()->lifetime == target_lifetime{id, 2'000});
+    CHECK(fixture.ended(refOf(0), run_outcome::kind::lost));
+    CHECK(fixture.target.running().empty());
+    CHECK(fixture.session.ready());
+
+    // A report of the predecessor that arrives now has the higher start time.
+    fixture.session.handleReport(delayed);
+    fixture.pass(200ms);
+    CHECK(fixture.session.target()->lifetime == target_lifetime{id, 2'000});
+    CHECK(fixture.session.ready());
+    CHECK(fixture.session.handleReport(fixture.target.report(fixture.time.now())));
+}
+
+// Guards against an end or a foreign run that is not seen because the listings of a lifetime with a
+// lower start time are dropped while they count as answers.
+TEST_CASE("a listing alone shows a lifetime with a lower start time")
+{
+    session_fixture fixture;
+    fixture.target.restart("i-1", 5'000, fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    fixture.runTime = 60s;
+    fixture.session.start(refOf(0), "spec", demand);
+    fixture.pass(100ms);
+    fixture.target.restart("i-1", 2'000, fixture.time.now());
+    fixture.executeLateStart(refOf(1));
+    fixture.pass(200ms);
+    CHECK(fixture.session.target()->lifetime.startedMs == 2'000);
+    CHECK(fixture.ended(refOf(0), run_outcome::kind::lost));
+    CHECK(fixture.target.running().empty());
+    CHECK(fixture.session.ready());
+}
+
+// Guards against a reply of the earlier lifetime that makes a silent target count as ready.
+TEST_CASE("the reply to a call before the current lifetime was known proves nothing")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    fixture.time.advance(10ms);
+    fixture.session.tick();
+    const auto calls = fixture.session.takeCalls();
+    REQUIRE_FALSE(calls.empty());
+    const auto old = fixture.target.call(calls.front(), fixture.time.now());
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.pass(100ms);
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(100ms);
+    REQUIRE(fixture.session.target()->lifetime.startedMs == 2);
+    fixture.silent = true;
+    fixture.pass(700ms);
+    REQUIRE_FALSE(fixture.session.ready());
+    fixture.session.handle(old);
+    CHECK(fixture.session.target()->lifetime.startedMs == 2);
+    CHECK_FALSE(fixture.session.ready());
+}
