Stop a run that a newer listing shows after its end

A run with the name of one that had ended within the last second was not taken for foreign, so that a delayed listing does not cause a stop. But a start call without a reply may be executed by a new lifetime of the target after its run was reported as lost. Its task starts elsewhere, while the agent neither stopped this run nor kept from declaring the target cleared, and so extended its lease, for up to one second. Class of fault: a period stands in for the order of two events.

Only a listing whose call was made before the end was known may still contain the run. A newer one shows that a run with this name executes now.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -224,8 +224,10 @@
     void applyListing(const pending_call &call, const run_listing &listing);
     void applyEnds(const std::vector<listed_end> &ended);
     void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
-    void stopForeign(const std::set<run_ref> &running);
-    [[nodiscard]] bool foreign(const run_ref &ref) const;
+    void stopForeign(const pending_call &call, const std::set<run_ref> &running);
+    /// Whether a run in the reply to a list call is not in the table. A reply to a call that was
+    /// made before a run has ended may still contain it; one to a newer call cannot.
+    [[nodiscard]] bool foreign(const pending_call &call, const run_ref &ref) const;
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
              start_refusal refusal = start_refusal::none, bool crashPossible = false);
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -489,9 +489,9 @@
     reportCrash();
     applyEnds(listing.ended);
     resolveRuns(call, running);
-    stopForeign(running);
+    stopForeign(call, running);
     if (!m_cleared && call.fence == m_fence &&
-        std::ranges::none_of(running, [&](const auto &ref) { return foreign(ref); })) {
+        std::ranges::none_of(running, [&](const auto &ref) { return foreign(call, ref); })) {
         m_cleared = true;
         log("target_cleared",
             {{"target", m_target->lifetime.id}, {"fence", std::to_string(m_fence)}});
@@ -553,16 +553,17 @@
     }
 }
 
-bool target_session::foreign(const run_ref &ref) const
+bool target_session::foreign(const pending_call &call, const run_ref &ref) const
 {
-    return !m_runs.contains(ref) && !m_recentlyEnded.contains(ref);
+    const auto ended = m_recentlyEnded.find(ref);
+    return !m_runs.contains(ref) && (ended == m_recentlyEnded.end() || call.sent > ended->second);
 }
 
-void target_session::stopForeign(const std::set<run_ref> &running)
+void target_session::stopForeign(const pending_call &call, const std::set<run_ref> &running)
 {
     const auto now = m_clock.now();
     for (const auto &ref : running) {
-        if (!foreign(ref)) {
+        if (!foreign(call, ref)) {
             continue;
         }
         const auto [position, added] = m_foreignStops.try_emplace(ref, foreign_run{now, {}});
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -473,6 +473,31 @@
     CHECK(fixture.session.ready());
 }
 
+// Guards against a run that executes on, under a lease that is extended, after it was reported as
+// lost: its start call reached a new lifetime late.
+TEST_CASE("a run that a newer listing shows after it has ended is stopped at once")
+{
+    session_fixture fixture;
+    fixture.pass(3s); // the clock of the next lifetime is behind the lease end in the start call
+    fixture.runTime = 60s;
+    fixture.loseStarts = true;
+    fixture.session.start(refOf(0), "spec", demand);
+    for (const auto &call : fixture.session.takeCalls()) {
+        fixture.execute(call);
+    }
+    REQUIRE(fixture.lostCalls.size() == 1);
+    fixture.target.restart("i-1", 2, fixture.time.now());
+    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
+    fixture.silent = true;
+    fixture.pass(1'300ms);
+    REQUIRE(fixture.ended(refOf(0), run_outcome::kind::lost));
+    CHECK(fixture.target.call(fixture.lostCalls.front(), fixture.time.now()).status ==
+          call_status::accepted);
+    fixture.silent = false;
+    fixture.pass(100ms);
+    CHECK(fixture.target.running().empty());
+}
+
 TEST_CASE("a start of a run that was stopped before is refused as old")
 {
     session_fixture fixture;
