Log each event under a literal name

tests/checks/references finds the log events of the program by their literal names, so it missed entry_silent and run_expired since one call chose between them. No behaviour changes.

--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -446,14 +446,19 @@
             continue;
         }
         const auto leaseEnd = entryLeaseEnd(run.entry);
+        if (now <= leaseEnd && now < run.expires) {
+            continue;
+        }
         const auto due = std::min(leaseEnd, run.expires);
-        if (now > leaseEnd || now >= run.expires) {
-            m_member.log(now > leaseEnd ? "entry_silent" : "run_expired",
-                         {{"run", toText(ref)},
-                          {"entry", toText(run.entry)},
-                          {"late_ms", std::to_string(toMilliseconds(now - due))}});
-            runsToStop.emplace_back(ref, due);
+        const auto lateMs = std::to_string(toMilliseconds(now - due));
+        if (now > leaseEnd) {
+            m_member.log("entry_silent",
+                         {{"run", toText(ref)}, {"entry", toText(run.entry)}, {"late_ms", lateMs}});
+        } else {
+            m_member.log("run_expired",
+                         {{"run", toText(ref)}, {"entry", toText(run.entry)}, {"late_ms", lateMs}});
         }
+        runsToStop.emplace_back(ref, due);
     }
     for (const auto &[ref, due] : runsToStop) {
         stopRun(ref, due);
