--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -266,7 +266,9 @@
     void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
     void recordForeign(const pending_call &call, const run_listing &listing);
     void stopForeign();
-    [[nodiscard]] bool foreign(const run_ref &ref) const;
+    /// Whether a run in the reply to a list call is not in the table. A reply to a call that was
+    /// made before a run has ended may still contain it; one to a newer call cannot.
+    [[nodiscard]] bool foreign(const pending_call &call, const run_ref &ref) const;
     /// Whether the target is executing a foreign run of the task.
     [[nodiscard]] bool foreignRunOf(const batch_task &task) const;
     void markExpiredRunsLost();
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -202,7 +202,7 @@
 void target_session::dropFailedCandidate()
 {
     if (m_candidate && m_candidate->failed && !m_candidate->call &&
-        m_newestAnsweredCall >= m_candidate->since) {
+        m_newestAnsweredCall > m_candidate->since) {
         dropCandidate("unanswered");
     }
 }
@@ -398,7 +398,10 @@
 {
     auto base = m_rightsConfirmed;
     for (const auto &[ref, run] : m_runs) {
-        base = std::min(base, run.stopDue.value_or(base));
+        // A withheld run has ended; the foreign run for which it is withheld counts below.
+        if (run.state != run_state::withheld) {
+            base = std::min(base, run.stopDue.value_or(base));
+        }
     }
     for (const auto &[ref, run] : m_foreignRuns) {
         base = std::min(base, run.found);
@@ -491,7 +494,8 @@
 {
     const auto now = m_clock.now();
     for (auto &[ref, run] : m_runs) {
-        if (run.stopDue && !run.stopOverdue && now - *run.stopDue >= overdueStopTime) {
+        if (run.stopDue && run.state != run_state::withheld && !run.stopOverdue &&
+            now - *run.stopDue >= overdueStopTime) {
             run.stopOverdue = true;
             log("stop_overdue",
                 {{"run", toText(ref)},
@@ -675,7 +679,7 @@
     resolveRuns(call, running);
     stopForeign();
     if (!m_cleared && call.fence == m_fence &&
-        std::ranges::none_of(running, [&](const auto &ref) { return foreign(ref); })) {
+        std::ranges::none_of(running, [&](const auto &ref) { return foreign(call, ref); })) {
         m_cleared = true;
         log("target_cleared",
             {{"target", m_target->lifetime.id}, {"fence", std::to_string(m_fence)}});
@@ -746,9 +750,10 @@
     }
 }
 
-bool target_session::foreign(const run_ref &ref) const
+bool target_session::foreign(const pending_call &call, const run_ref &ref) const
 {
-    return !m_runs.contains(ref) && !m_recentlyEnded.contains(ref);
+    const auto ended = m_recentlyEnded.find(ref);
+    return !m_runs.contains(ref) && (ended == m_recentlyEnded.end() || call.sent > ended->second);
 }
 
 /// Updates the foreign runs. One is removed when the listing contains its end, or when the listing
@@ -757,7 +762,7 @@
 {
     const auto now = m_clock.now();
     for (const auto &ref : listing.running) {
-        if (foreign(ref)) {
+        if (foreign(call, ref)) {
             m_foreignRuns.try_emplace(ref, foreign_run{now, now, {}}).first->second.listed = now;
         }
     }
