--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -97,14 +97,13 @@
 {
     // The report may have been delayed, so a lower start time needs the answer of its lifetime.
     const bool earlier = report.lifetime.startedMs < m_target->lifetime.startedMs;
-    if (!m_candidate) {
-        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
-    } else if (report.lifetime == m_candidate->report.lifetime &&
-               report.address == m_candidate->report.address) {
+    const bool known = m_candidate && report.lifetime == m_candidate->report.lifetime &&
+                       report.address == m_candidate->report.address;
+    if (known) {
         if (report.sequence > m_candidate->report.sequence) {
             m_candidate->report = report;
         }
-    } else if (m_candidate->call) {
+    } else if (m_candidate && m_candidate->call) {
         m_candidate->next = report;
     } else {
         m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -204,6 +204,13 @@
     CHECK_FALSE(platform::reportedTargetId("/other"));
 }
 
+// Guards against a target that counts as received what its agent ignores.
+TEST_CASE("only a report that is used is acknowledged")
+{
+    CHECK(platform::encodeReportReceipt(true).result_int() == 200);
+    CHECK(platform::encodeReportReceipt(false).result_int() == 409);
+}
+
 TEST_CASE("platform: task names consist of job, occurrence, step and index")
 {
     // The occurrence is 0 because repeated jobs are not supported.
