Use only TCP endpoints for messages

An endpoint from a peer's message, such as a member in its list, was passed to ZeroMQ as it is, which also accepts local sockets, wildcards and port 0: messages then went to a local process, or to nobody without an error.

--- a/include/bamboohead/settings.hpp
+++ b/include/bamboohead/settings.hpp
@@ -134,4 +134,7 @@
 /// @brief Whether a text is `host:port` with a port from 1 to 65,535.
 [[nodiscard]] bool isAddress(std::string_view text);
 
+/// @brief Whether a text is a ZeroMQ endpoint of the form `tcp://host:port`, see isAddress().
+[[nodiscard]] bool isEndpoint(std::string_view text);
+
 } // namespace bamboohead
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -26,11 +26,6 @@
 constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 3> policyNames{"credits", "random", "two_choices"};
 
-bool isEndpoint(std::string_view text)
-{
-    return text.starts_with(endpointScheme) && isAddress(text.substr(endpointScheme.size()));
-}
-
 bool isOptionalEndpoint(std::string_view text)
 {
     return text.empty() || isEndpoint(text);
@@ -299,6 +294,11 @@
     return parsed.ec == std::errc{} && parsed.ptr == end && port >= 1 && port <= maxPort;
 }
 
+bool isEndpoint(std::string_view text)
+{
+    return text.starts_with(endpointScheme) && isAddress(text.substr(endpointScheme.size()));
+}
+
 std::span<const setting_description> settingDescriptions()
 {
     static const auto rows = allSettings();
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/transport.hpp"
 
+#include "bamboohead/settings.hpp"
+
 #include <zmq.hpp>
 
 #include <algorithm>
@@ -175,6 +177,10 @@
         if (found != m_peers.end()) {
             return &found->second;
         }
+        // ZeroMQ also accepts local sockets and wildcards.
+        if (!isEndpoint(endpoint)) {
+            return nullptr;
+        }
         peer created;
         try {
             created.socket = connectTo(endpoint);
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -228,4 +228,18 @@
     CHECK(a.counters().peersReconnected == 0);
 }
 
+// Guards against messages to a local process or, without an error, to nobody.
+TEST_CASE("messages are only sent to TCP endpoints")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    for (const std::string endpoint :
+         {"ipc:///tmp/bamboohead-test", "inproc://a", "tcp://127.0.0.1:70000", "tcp://127.0.0.1:0",
+          "tcp://127.0.0.1:*", "tcp://127.0.0.1:80x", "tcp://*:80", ""}) {
+        CAPTURE(endpoint);
+        a.send(endpoint, envelopeWith(1));
+        CHECK(a.peers() == 0);
+    }
+}
+
 } // namespace bamboohead
