--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -81,13 +81,11 @@
     ///        that are not answered at once, to be called by the request handler before it handles
     ///        one. Reports other disconnects as reportDisconnects() does.
     [[nodiscard]] bool disconnected(http_exchange exchange);
-    /// @brief Time since the newest bytes of the connection of an unanswered request arrived, with
-    /// a
-    ///        resolution of milliseconds: at most the time that the request has waited to be
-    ///        handled. Zero when it is unknown. Makes a system call.
+    /// @brief Time since the newest bytes of the connection of an unanswered request arrived, in
+    ///        whole milliseconds: at most the time that the request has waited to be handled. Zero
+    ///        when it is unknown. Makes a system call.
     [[nodiscard]] duration sinceArrival(http_exchange exchange) const;
-    /// @brief Closes the connections of unanswered requests whose end has arrived, including the
-    /// end
+    /// @brief Closes the connections of unanswered requests whose end has arrived, including that
     ///        of the peer's sending side, and calls the disconnect handler for them. The event loop
     ///        does so too, but only when it handles the events of a connection. Makes one system
     ///        call for all connections.
