--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -174,6 +174,8 @@
     }
 
 private:
+    using event_fields = std::vector<std::pair<std::string, std::string>>;
+
     /// `unresolved`: it is unknown whether the run has started, until a listing shows it or a
     /// listing under a higher fence does not. `withheld`: the run has ended or was not started, but
     /// the target is executing a foreign run of the same task, so the outcome is not reported yet.
@@ -286,12 +288,13 @@
     [[nodiscard]] bool earlierStartsCertainlyExpired() const;
     /// Returns the lease end for a new call, and records it as sent.
     [[nodiscard]] std::int64_t extendLease();
-    void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
+    void log(std::string name, event_fields fields);
     void logIgnoredReport(const target_report &report, std::string_view reason);
-    /// Logs that a report or listing of `lifetime` is ignored. Events within a short interval are
-    /// only counted; the next one has their number.
-    void logIgnored(std::string name, const target_lifetime &lifetime, std::string_view reason,
-                    std::vector<std::pair<std::string, std::string>> fields);
+    /// Fields of the log line for an ignored report or listing of `lifetime`. Nothing within a
+    /// short interval after such a line: the events are only counted, and the next line has their
+    /// number.
+    [[nodiscard]] std::optional<event_fields> ignoredFields(const target_lifetime &lifetime,
+                                                            std::string_view reason);
 
     const clock &m_clock;
     target_session_limits m_limits;
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -649,9 +649,12 @@
 void target_session::handleOtherLifetime(const run_listing &listing)
 {
     if (listing.startedMs == 0) {
-        logIgnored("listing_ignored", {m_target->lifetime.id, listing.startedMs}, "no_start_time",
-                   {{"running", std::to_string(listing.running.size())},
-                    {"ended", std::to_string(listing.ended.size())}});
+        if (auto fields =
+                    ignoredFields({m_target->lifetime.id, listing.startedMs}, "no_start_time")) {
+            fields->emplace_back("running", std::to_string(listing.running.size()));
+            fields->emplace_back("ended", std::to_string(listing.ended.size()));
+            log("listing_ignored", std::move(*fields));
+        }
         m_nextList = m_clock.now() + retryDelay;
         return;
     }
@@ -835,33 +838,32 @@
 
 void target_session::logIgnoredReport(const target_report &report, std::string_view reason)
 {
-    logIgnored("report_ignored", report.lifetime, reason,
-               {{"sequence", std::to_string(report.sequence)},
-                {"kept_sequence", std::to_string(m_target->sequence)},
-                {"address", report.address}});
+    if (auto fields = ignoredFields(report.lifetime, reason)) {
+        fields->emplace_back("sequence", std::to_string(report.sequence));
+        fields->emplace_back("kept_sequence", std::to_string(m_target->sequence));
+        fields->emplace_back("address", report.address);
+        log("report_ignored", std::move(*fields));
+    }
 }
 
-void target_session::logIgnored(std::string name, const target_lifetime &lifetime,
-                                std::string_view reason,
-                                std::vector<std::pair<std::string, std::string>> fields)
+std::optional<target_session::event_fields>
+target_session::ignoredFields(const target_lifetime &lifetime, std::string_view reason)
 {
     const auto now = m_clock.now();
     ++m_ignored;
     if (m_lastIgnoredLog && now - *m_lastIgnoredLog < ignoredLogInterval) {
-        return;
+        return std::nullopt;
     }
     m_lastIgnoredLog = now;
-    fields.insert(fields.begin(),
-                  {{"target", lifetime.id},
-                   {"started_ms", std::to_string(lifetime.startedMs)},
-                   {"kept", m_target->lifetime.id},
-                   {"kept_started_ms", std::to_string(m_target->lifetime.startedMs)},
-                   {"reason", std::string{reason}},
-                   {"ignored", std::to_string(std::exchange(m_ignored, 0))}});
-    log(std::move(name), std::move(fields));
+    return event_fields{{"target", lifetime.id},
+                        {"started_ms", std::to_string(lifetime.startedMs)},
+                        {"kept", m_target->lifetime.id},
+                        {"kept_started_ms", std::to_string(m_target->lifetime.startedMs)},
+                        {"reason", std::string{reason}},
+                        {"ignored", std::to_string(std::exchange(m_ignored, 0))}};
 }
 
-void target_session::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
+void target_session::log(std::string name, event_fields fields)
 {
     m_events.emplace_back(std::move(name), std::move(fields));
 }
