Share the parser of ports

parseAddress() parsed the port in the way isAddress() already did. Both call parsePort() now; the texts that they accept are the same.

--- a/include/bamboohead/network_address.hpp
+++ b/include/bamboohead/network_address.hpp
@@ -15,6 +15,11 @@
     bool operator==(const network_address &) const = default;
 };
 
+/// @brief Parses a decimal port.
+/// @return Nothing unless the whole text is a number from `lowest` to 65535.
+[[nodiscard]] std::optional<std::uint16_t> parsePort(std::string_view digits,
+                                                     std::uint16_t lowest = 1);
+
 /// @brief Parses `host:port` without resolving names, which would block the calling thread.
 /// @param lowestPort 1 for an address to connect to; 0 also allows any free port to be bound.
 /// @return Nothing unless the host is a dotted-decimal IPv4 address, the port is a decimal number
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <limits>
 
 namespace bamboohead {
@@ -284,14 +283,8 @@
 bool isAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || !isHost(text.substr(0, colon))) {
-        return false;
-    }
-    const auto digits = text.substr(colon + 1);
-    std::int64_t port = 0;
-    const auto *const end = digits.data() + digits.size();
-    const auto parsed = std::from_chars(digits.data(), end, port);
-    return parsed.ec == std::errc{} && parsed.ptr == end && port >= 1 && port <= maxPort;
+    return colon != std::string_view::npos && isHost(text.substr(0, colon)) &&
+           parsePort(text.substr(colon + 1)).has_value();
 }
 
 bool isEndpoint(std::string_view text)
--- a/src/network_address.cpp
+++ b/src/network_address.cpp
@@ -7,6 +7,15 @@
 
 namespace bamboohead {
 
+std::optional<std::uint16_t> parsePort(std::string_view digits, std::uint16_t lowest)
+{
+    const auto *const end = digits.data() + digits.size();
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(digits.data(), end, port);
+    return parsed.ec == std::errc{} && parsed.ptr == end && port >= lowest ? std::optional{port}
+                                                                           : std::nullopt;
+}
+
 std::optional<network_address> parseAddress(std::string_view text, std::uint16_t lowestPort)
 {
     const auto colon = text.find(':');
@@ -18,14 +27,8 @@
     if (inet_pton(AF_INET, host.c_str(), &parsedHost) != 1) {
         return std::nullopt;
     }
-    const auto digits = text.substr(colon + 1);
-    const auto *const end = digits.data() + digits.size();
-    std::uint16_t port = 0;
-    const auto parsedPort = std::from_chars(digits.data(), end, port);
-    if (parsedPort.ec != std::errc{} || parsedPort.ptr != end || port < lowestPort) {
-        return std::nullopt;
-    }
-    return network_address{ntohl(parsedHost.s_addr), port};
+    const auto port = parsePort(text.substr(colon + 1), lowestPort);
+    return port ? std::optional{network_address{ntohl(parsedHost.s_addr), *port}} : std::nullopt;
 }
 
 std::optional<network_address> parseEndpoint(std::string_view text)
