Raise a refused fence and look up runs of a task in one place

The rule for a fence that the target has refused stood in the replies to starts, to lists and, as a third copy, to the candidate's call. The search for the first run of a task stood three times, and the start of a candidate twice. No behaviour changes.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -251,6 +251,10 @@
     void sendList(bool longPoll);
     void sendStop(const run_ref &ref, session_run *run);
     void logOverdueStops();
+    [[nodiscard]] candidate_target newCandidate(const target_report &report) const
+    {
+        return {report, m_clock.now(), {}, {}, false, {}};
+    }
     bool considerCandidate(const target_report &report);
     bool adoptCandidateOfSilentTarget();
     void callCandidate();
@@ -259,7 +263,10 @@
     void dropCandidate(std::string_view reason);
     void beginLifetime(const target_report &report);
     void recordInterruptedRuns(const target_lifetime &next);
-    void raiseFence(std::uint64_t step);
+    void raiseFence();
+    /// Raises the fence above one that the target has refused, unless that was done before.
+    /// @return Whether the fence was raised.
+    bool passRefusedFence(const pending_call &call);
     void handleStartReply(const pending_call &call, const target_reply &reply);
     void handleListReply(const pending_call &call, const target_reply &reply);
     void handleOtherLifetime(const run_listing &listing);
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -50,6 +50,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+/// The run of a task with the lowest number; null if there is none.
+template <typename Value>
+const run_ref *firstRunOf(const std::map<run_ref, Value> &runs, const batch_task &task)
+{
+    const auto first = runs.lower_bound(run_ref{task, 0});
+    return first != runs.end() && first->first.task == task ? &first->first : nullptr;
+}
+
 } // namespace
 
 std::string_view toText(call_status status) noexcept
@@ -111,7 +119,7 @@
     } else if (m_candidate && m_candidate->call) {
         m_candidate->next = report;
     } else {
-        m_candidate = candidate_target{report, m_clock.now(), {}, {}, false, {}};
+        m_candidate = newCandidate(report);
     }
     const auto candidate = m_candidate->report.lifetime;
     if (!adoptCandidateOfSilentTarget()) {
@@ -181,10 +189,7 @@
         return;
     }
     if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
-        if (call.fence == m_fence) {
-            m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
-            m_fence += m_fenceStep;
-        }
+        passRefusedFence(call);
         candidate.nextCall = m_clock.now();
         return;
     }
@@ -211,7 +216,7 @@
     const auto dropped = *std::exchange(m_candidate, std::nullopt);
     logIgnoredReport(dropped.report, reason);
     if (dropped.next) {
-        m_candidate = candidate_target{*dropped.next, m_clock.now(), {}, {}, false, {}};
+        m_candidate = newCandidate(*dropped.next);
         callCandidate();
     }
 }
@@ -375,8 +380,7 @@
 
 bool target_session::holds(const batch_task &task) const
 {
-    const auto first = m_runs.lower_bound(run_ref{task, 0});
-    return first != m_runs.end() && first->first.task == task;
+    return firstRunOf(m_runs, task) != nullptr;
 }
 
 duration target_session::runningTime(const run_ref &ref) const
@@ -453,13 +457,23 @@
     m_calls.emplace_back(std::move(call));
 }
 
-void target_session::raiseFence(std::uint64_t step)
+void target_session::raiseFence()
 {
-    m_fence += step;
+    ++m_fence;
     m_fenceRaiseDue = false;
     sendList(false);
 }
 
+bool target_session::passRefusedFence(const pending_call &call)
+{
+    if (call.fence != m_fence) {
+        return false;
+    }
+    m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
+    m_fence += m_fenceStep;
+    return true;
+}
+
 void target_session::tick()
 {
     if (!m_target) {
@@ -477,7 +491,7 @@
         m_nextList = m_cleared && m_listFailures == 0 ? now : now + retryDelay;
     }
     if (m_fenceRaiseDue && now >= m_nextFenceRaise) {
-        raiseFence(1);
+        raiseFence();
     }
     for (auto &[ref, run] : m_runs) {
         if (run.stopDue && run.state == run_state::running &&
@@ -593,9 +607,9 @@
         end(call.ref, run_outcome::kind::not_started, start_refusal::unhealthy);
         break;
     case call_status::refused:
-        if (reply.refusal == call_refusal::fenced && call.fence == m_fence) {
-            m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
-            raiseFence(m_fenceStep);
+        if (reply.refusal == call_refusal::fenced && passRefusedFence(call)) {
+            m_fenceRaiseDue = false;
+            sendList(false);
         }
         const auto refusal = reply.refusal == call_refusal::old_run   ? start_refusal::old_run
                              : reply.refusal == call_refusal::no_room ? start_refusal::no_room
@@ -624,9 +638,7 @@
         return;
     }
     if (reply.status == call_status::refused && reply.refusal == call_refusal::fenced) {
-        if (call.fence == m_fence) {
-            m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
-            m_fence += m_fenceStep;
+        if (passRefusedFence(call)) {
             m_nextList = m_clock.now();
         }
         return;
@@ -778,8 +790,7 @@
 
 bool target_session::foreignRunOf(const batch_task &task) const
 {
-    const auto first = m_foreignRuns.lower_bound(run_ref{task, 0});
-    return first != m_foreignRuns.end() && first->first.task == task;
+    return firstRunOf(m_foreignRuns, task) != nullptr;
 }
 
 void target_session::stopForeign()
@@ -790,12 +801,11 @@
             continue;
         }
         run.stopSent = now;
-        const auto own = m_runs.lower_bound(run_ref{ref.task, 0});
-        const bool hasOwn = own != m_runs.end() && own->first.task == ref.task;
+        const auto *const own = firstRunOf(m_runs, ref.task);
         log("foreign_run_stopped",
             {{"run", toText(ref)},
              {"target", m_target->lifetime.id},
-             {"own_run", hasOwn ? toText(own->first) : "none"},
+             {"own_run", own == nullptr ? "none" : toText(*own)},
              {"cleared", m_cleared ? "true" : "false"},
              {"lifetime_known_ms",
               std::to_string(toSignedMilliseconds(now - m_lifetimeKnownSince))}});
