--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -101,6 +101,17 @@
         session.handle(reply);
     }
 
+    /// Begins a lifetime of the target and starts a long run in it.
+    void startRunInLifetime(std::int64_t startedMs)
+    {
+        target.restart("i-1", startedMs, time.now());
+        session.handleReport(target.report(time.now()));
+        pass(100ms);
+        runTime = 60s;
+        session.start(refOf(0), "spec", demand);
+        pass(100ms);
+    }
+
     /// Executes a start call that was made before the first fence of the session.
     void executeLateStart(const run_ref &ref, const std::string &targetId = "i-1")
     {
@@ -925,12 +936,7 @@
 TEST_CASE("a lifetime with a lower start time than its predecessor is detected")
 {
     session_fixture fixture;
-    fixture.target.restart("i-1", 5'000, fixture.time.now());
-    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
-    fixture.pass(100ms);
-    fixture.runTime = 60s;
-    fixture.session.start(refOf(0), "spec", demand);
-    fixture.pass(100ms);
+    fixture.startRunInLifetime(5'000);
     REQUIRE(fixture.target.running().contains(refOf(0)));
     auto delayed = fixture.target.report(fixture.time.now());
     delayed.sequence += 10;
@@ -963,12 +969,7 @@
 TEST_CASE("a listing alone shows a lifetime with a lower start time")
 {
     session_fixture fixture;
-    fixture.target.restart("i-1", 5'000, fixture.time.now());
-    fixture.session.handleReport(fixture.target.report(fixture.time.now()));
-    fixture.pass(100ms);
-    fixture.runTime = 60s;
-    fixture.session.start(refOf(0), "spec", demand);
-    fixture.pass(100ms);
+    fixture.startRunInLifetime(5'000);
     fixture.target.restart("i-1", 2'000, fixture.time.now());
     fixture.executeLateStart(refOf(1));
     fixture.pass(200ms);
