--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -192,9 +192,9 @@
 
 
 class Store:
-    """The platform's store. `delay_s` is the time that each answer takes; `page_items` the length of a page."""
+    """The platform's store. `delay_s` is the time that each answer takes."""
 
-    page_items = 500
+    page_items, page_bytes = 500, 1_000_000  # a page ends at the first of these limits, and has one item at least
     history_s = 20.0  # changes are kept for watches for this long
 
     def __init__(self, record, host):
@@ -296,7 +296,12 @@
 
     def list_items(self, query):
         keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-        page = keys[:self.page_items]
+        page, size = [], 0
+        for key in keys[:self.page_items]:
+            size += len(self.items[key]["value"])
+            if page and size > self.page_bytes:
+                break
+            page.append(key)
         answer = {"items": [self.items[k] for k in page], "hasMore": len(keys) > len(page),
                   "currentRev": self.revision}
         if self.on_page is not None:
