Add a review case: two runs of a task after a late start and a restart

A start gets no answer, its runner crashes and starts again under the same id, and the start is executed then, while the task runs elsewhere.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -25,6 +25,7 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT, PLATFORM_PORT, RUNNER_PORT = 8161, 8167, 8166, 8169, 8080
 INTERNAL_PORTS = [7720, 7735]
 METRICS_PORT = 9464
+CALL_DELAY_S = 2.0  # a call that is executed late gets no answer until then
 TIME_LIMIT_S = 110  # of a whole script; the limit for a case is 120 s
 
 # Figures of the installations, as in the settings of a process (`bounds`, `heartbeatMs`).
@@ -361,6 +362,8 @@
         self.lives = 0
         self.up = False
         self.state = "ready"
+        self.delayed = []  # calls that got no answer and are executed late
+        self.delays = lambda request: False  # whether a call is to be one of them
         self.beating = asyncio.create_task(self.beat())
         self.expiring = asyncio.create_task(self.expire_lease())
 
@@ -372,15 +375,18 @@
             self.id = f"i-{self.machine}-{self.lives}"
         self.born_ms = int(time.time() * 1000)
         self.begin = time.monotonic()
-        self.offset_ms = random.randrange(1_000, 100_000)
+        self.offset_ms = 0  # the clock starts anew in each life
         self.fence = self.seq = self.last_end = 0
         self.runs, self.ends, self.highest_ended = {}, [], {}
         self.until_ms = 0
         self.state = "ready"
         self.end_event = asyncio.Event()
-        await self.server.start()
         self.up = True
         self.record("runner_begins", machine=self.machine, id=self.id, labels=self.labels, cpu=self.cpu)
+        for request in self.delayed:  # reach the runner as soon as it is back
+            self.record("late_call", path=request.path, answer=await self.handle(request))
+        self.delayed = []
+        await self.server.start()
         await self.report()
 
     def crash(self):
@@ -425,6 +431,11 @@
     async def handle(self, request):
         if not self.up:
             return DROP
+        if self.delays(request):
+            self.delayed.append(request)
+            self.record("call_left_unanswered", id=self.id, path=request.path)
+            await asyncio.sleep(CALL_DELAY_S)
+            return DROP
         life = self.lives
         body = request.json()
         if request.headers.get("x-bamboohead-target-instance", self.id) != self.id:
