Take no run for lost while a target has further ends to list

Tasks that ended as done were repeated: a target lists at most 500 ends at a time, and a run that is neither executing nor among the listed ends was reported as lost, or as not started if its start had no answer. No run was executed twice at the same time by this, as the list of executing runs is complete.

A listing now states whether it has all ends.

Test: 1,200 runs that end together, with confirmed and with unanswered starts. The simulated target now lists 500 ends at a time, too.

--- a/include/bamboohead/dispatch/target_calls.hpp
+++ b/include/bamboohead/dispatch/target_calls.hpp
@@ -123,6 +123,9 @@
     std::int64_t startedMs = 0;    ///< start time of the lifetime that replied
     std::vector<run_ref> running;  ///< runs that are executing
     std::vector<listed_end> ended; ///< ends that are not acknowledged, lowest number first
+    /// Whether `ended` has all of them. Otherwise a run that is not listed may have ended with any
+    /// outcome.
+    bool endsComplete = true;
 };
 
 /// @brief Reply to a call, or the report that there was none.
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -272,7 +272,8 @@
     void handleOtherLifetime(const run_listing &listing);
     void applyListing(const pending_call &call, const run_listing &listing);
     void applyEnds(const std::vector<listed_end> &ended);
-    void resolveRuns(const pending_call &call, const std::set<run_ref> &running);
+    /// @param endsComplete See run_listing::endsComplete.
+    void resolveRuns(const pending_call &call, const std::set<run_ref> &running, bool endsComplete);
     void recordForeign(const pending_call &call, const run_listing &listing);
     void stopForeign();
     /// Whether a run in the reply to a list call is not in the table. A reply to a call that was
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -690,7 +690,7 @@
     reportCrash();
     recordForeign(call, listing);
     applyEnds(listing.ended);
-    resolveRuns(call, running);
+    resolveRuns(call, running, listing.endsComplete);
     stopForeign();
     if (!m_cleared && call.fence == m_fence &&
         std::ranges::none_of(running, [&](const auto &ref) { return foreign(call, ref); })) {
@@ -724,7 +724,8 @@
     }
 }
 
-void target_session::resolveRuns(const pending_call &call, const std::set<run_ref> &running)
+void target_session::resolveRuns(const pending_call &call, const std::set<run_ref> &running,
+                                 bool endsComplete)
 {
     std::vector<std::pair<run_ref, run_outcome::kind>> gone;
     std::vector<run_ref> released;
@@ -743,6 +744,9 @@
             gone.emplace_back(ref, run_outcome::kind::lost);
         }
     }
+    if (!endsComplete) {
+        gone.clear(); // they may have ended with any outcome, which the next listing shows
+    }
     for (const auto &[ref, run] : m_runs) {
         if (run.state == run_state::withheld && !foreignRunOf(ref.task)) {
             released.push_back(ref);
--- a/tests/dispatch/fake_target.cpp
+++ b/tests/dispatch/fake_target.cpp
@@ -170,6 +170,8 @@
         listing.running.push_back(ref);
     }
     listing.ended = m_ended;
+    listing.ended.resize(std::min(m_ended.size(), maxListedEnds));
+    listing.endsComplete = m_ended.size() < maxListedEnds;
     answer.listing = std::move(listing);
     return answer;
 }
--- a/tests/dispatch/fake_target.hpp
+++ b/tests/dispatch/fake_target.hpp
@@ -60,7 +60,8 @@
     double slowness = 1.0;  ///< factor by which run times are multiplied
     bool hangs = false;     ///< whether newly started runs never end by themselves
     bool failsAll = false;  ///< whether all runs that end by themselves from now on end as failed
-    run_listener onStart;   ///< called when a run starts
+    std::size_t maxListedEnds = 500; ///< ends in a listing; later listings contain the others
+    run_listener onStart;            ///< called when a run starts
     std::function<void(const run_ref &, run_end_kind)> onRemoved; ///< called when a run ends
 
 private:
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -179,6 +179,25 @@
                         .listing);
 }
 
+// Guards against runs that are taken for lost because a target lists at most 500 ends at a time.
+TEST_CASE("platform: a listing with as many ends as a target lists at a time is incomplete")
+{
+    const auto listingWith = [](int ends) {
+        std::string rows;
+        for (int number = 1; number <= ends; ++number) {
+            rows += (rows.empty() ? "" : ",") +
+                    ("[" + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])");
+        }
+        const auto reply = platform::decodeTargetReply(
+                call_id{1}, http_call_end::answered,
+                answer(200, R"({"clockMs":1,"running":[],"ended":[)" + rows + "]}"));
+        REQUIRE(reply.listing);
+        return *reply.listing;
+    };
+    CHECK(listingWith(499).endsComplete);
+    CHECK_FALSE(listingWith(500).endsComplete);
+}
+
 TEST_CASE("platform: incomplete status reports of a target are rejected")
 {
     const std::string good =
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -1056,3 +1056,37 @@
     CHECK_FALSE((fixture.target.running().contains(refOf(0)) &&
                  fixture.ended(refOf(0), run_outcome::kind::lost)));
 }
+
+// Guards against runs that have ended as done and are reported as lost, because a listing has at
+// most 500 ends.
+TEST_CASE("no run is reported as lost or not started while a listing lacks further ends")
+{
+    session_fixture fixture;
+    fixture.pass(100ms);
+    constexpr std::uint32_t runs = 1'200;
+    for (std::uint32_t index = 0; index < runs; ++index) {
+        fixture.session.start(refOf(index), "spec", demand);
+    }
+    SUBCASE("confirmed starts")
+    {
+        fixture.deliver();
+    }
+    SUBCASE("starts whose replies are lost")
+    {
+        for (const auto &call : fixture.session.takeCalls()) {
+            (void)fixture.target.call(call, fixture.time.now());
+            const auto *const start = std::get_if<start_run>(&call);
+            if (start != nullptr) {
+                fixture.session.handle(
+                        {start->header.id, call_status::unanswered, call_refusal::none, {}, {}});
+            }
+        }
+        fixture.time.advance(250ms); // all runs end before the next listing
+    }
+    fixture.pass(300ms);
+    CHECK(fixture.started.size() == runs);
+    REQUIRE(fixture.outcomes.size() == runs);
+    CHECK(std::ranges::all_of(fixture.outcomes, [](const auto &end) {
+        return end.result == run_outcome::kind::done;
+    }));
+}
