Name the order of a run in its end

A task could be started a second time while its run executed, or its job be answered before it had run. The runs of a job that is submitted again are numbered anew, so a run has the name of an earlier one. An entry takes the runs of an agent that is silent for 1,400 ms for lost. When the agent reports again, its list of ends may still have the end of the earlier run after the entry has ordered the new one there. That end was attributed to the new run: the entry ordered the task elsewhere while the agent started it (a target refuses the old number only if it has started the earlier run itself, not if that was stopped in the queue of the agent).

Each end now carries the number of the message that ordered the run, which counts in the epoch that the report names; an end of another order is ignored. A run that is ordered again while the agent still holds it gets the newer number. When an entry begins a new epoch, the agent forgets the numbers of the earlier one.

Tests: the late end arrives before or after the agent has received the new order, or from an agent that knows an earlier epoch only; the agent names the order of refused, repeated and earlier runs. With the numbers and the comparisons taken out, the entry orders a third run (3 orders instead of 2) after an end as stopped, and answers the job as succeeded after one as done.

Reports of earlier versions have no numbers, so their ends count as those of other orders; entries and agents are to be replaced together.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -158,6 +158,8 @@
         std::string spec;
         resources demand;
         queue_key key;
+        /// Number of the entry's newest message that ordered the run; 0: of an earlier epoch.
+        std::uint64_t order = 0;
         time_point expires; ///< the run is stopped at this time
         bool queued = true;
         bool stopping = false;
@@ -175,8 +177,11 @@
     void handleOrdersMessage(incarnation_id sender, const wire::DispatchOrders &message,
                              const receive_result &received);
     void handleOrders(incarnation_id entry, const wire::DispatchOrders &message, bool fresh);
+    /// @param number Number of the message.
     void handleOrder(incarnation_id entry, const wire::RunOrder &order, const wire::RunTask &task,
-                     bool fresh);
+                     std::uint64_t number, bool fresh);
+    /// The entry begins a new epoch, and numbers its messages anew.
+    void forgetOrderNumbers(incarnation_id sender, entry_state &entry);
     /// Reason to refuse an order, or `none`. `fresh`: the echo that came with the order is at most
     /// `maxOrderAge` old.
     [[nodiscard]] error_kind refusalReason(const run_ref &ref, const wire::RunOrder &order,
@@ -203,8 +208,10 @@
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
                 bool crashPossible = false);
     /// Adds the end of a run to the reports to an entry.
-    void reportEnd(incarnation_id receiver, const run_ref &ref, wire::RunOutcome outcome,
-                   error_kind error, duration runTime, bool crashPossible);
+    /// @param order Number of the message that ordered the run; 0: of an earlier epoch.
+    void reportEnd(incarnation_id receiver, const run_ref &ref, std::uint64_t order,
+                   wire::RunOutcome outcome, error_kind error, duration runTime,
+                   bool crashPossible);
     void count(wire::RunOutcome outcome, duration runTime);
     entry_state &findOrAddEntry(incarnation_id entry);
     void sendReports();
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -53,6 +53,7 @@
     if (message.epoch() > entry.peerEpoch) {
         entry.peerEpoch = message.epoch();
         entry.ordersHandled = 0;
+        forgetOrderNumbers(sender, entry);
     }
     entry.crashesSeen = message.crashes_seen();
     const auto acked = message.peer_epoch() == entry.epoch ? message.ends_seen() : 0;
@@ -88,6 +89,18 @@
     startQueued();
 }
 
+void dispatch_agent::forgetOrderNumbers(incarnation_id sender, entry_state &entry)
+{
+    for (auto &end : entry.unacked) {
+        end.set_order(0);
+    }
+    for (auto &[ref, run] : m_runs) {
+        if (run.entry == sender) {
+            run.order = 0;
+        }
+    }
+}
+
 resources dispatch_agent::queuedDemandUpTo(std::uint32_t priority) const
 {
     resources sum;
@@ -162,18 +175,19 @@
 {
     for (const auto &order : message.orders()) {
         for (const auto &task : order.tasks()) {
-            handleOrder(entry, order, task, fresh);
+            handleOrder(entry, order, task, message.number(), fresh);
         }
     }
 }
 
 void dispatch_agent::handleOrder(incarnation_id entry, const wire::RunOrder &order,
-                                 const wire::RunTask &task, bool fresh)
+                                 const wire::RunTask &task, std::uint64_t number, bool fresh)
 {
     const run_ref ref{{batch_job_id{order.job()}, order.step(), task.index()}, task.run()};
     // Run numbers begin anew with each entry, so another one may have ordered a run with this name.
     const auto held = m_runs.find(ref);
     if (held != m_runs.end() && held->second.entry == entry) {
+        held->second.order = number; // its end is that of the new order, too
         return;
     }
     const auto refusal = refusalReason(ref, order, fresh);
@@ -183,11 +197,12 @@
                       {"entry", toText(entry)},
                       {"reason", std::string{errorInfo(refusal).name}},
                       {"running_cpu", std::to_string(m_session.committed().cpuMillis)}});
-        reportEnd(entry, ref, wire::RUN_OUTCOME_REFUSED, refusal, {}, false);
+        reportEnd(entry, ref, number, wire::RUN_OUTCOME_REFUSED, refusal, {}, false);
         return;
     }
     agent_run run;
     run.entry = entry;
+    run.order = number;
     run.demand = fromWire(order.demand());
     run.spec = order.spec();
     run.suspect = order.suspect();
@@ -394,11 +409,11 @@
     if (run.queued) {
         dequeue(run);
     }
-    reportEnd(run.entry, ref, outcome, error, runTime, crashPossible);
+    reportEnd(run.entry, ref, run.order, outcome, error, runTime, crashPossible);
     m_runs.erase(found);
 }
 
-void dispatch_agent::reportEnd(incarnation_id receiver, const run_ref &ref,
+void dispatch_agent::reportEnd(incarnation_id receiver, const run_ref &ref, std::uint64_t order,
                                wire::RunOutcome outcome, error_kind error, duration runTime,
                                bool crashPossible)
 {
@@ -411,6 +426,7 @@
     end.set_error(toWire(error));
     end.set_run_ms(toMilliseconds(runTime));
     end.set_crash_possible(crashPossible);
+    end.set_order(order);
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -77,9 +77,7 @@
         agent.endsSeen = 0;
     }
     updateView(agent, report);
-    // Each run end is processed once and in order; the next full report repeats missing ones. A
-    // repeated end must not be attributed to a later run: when a caller submits a cancelled job
-    // again, the new runs have the same identifiers.
+    // Each run end is processed once and in order; the next full report repeats missing ones.
     if (report.reconcile() && !report.ends().empty()) {
         // Full reports begin with the oldest end that this entry has not acknowledged. Earlier ends
         // were acknowledged before this view of the agent was created.
@@ -88,7 +86,9 @@
     for (const auto &end : report.ends()) {
         if (end.number() == agent.endsSeen + 1) {
             agent.endsSeen = end.number();
-            handleRunEnd(agent, end);
+            if (report.peer_epoch() == agent.epoch) { // otherwise order() has another meaning
+                handleRunEnd(agent, end);
+            }
         }
     }
     handleCrashes(agent, report);
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -33,7 +33,10 @@
 {
     const auto ref = fromWire(end.run());
     const auto known = agent.outstanding.find(ref);
-    if (known == agent.outstanding.end()) {
+    // When a caller submits a cancelled job again, the new runs have the same identifiers as those
+    // of the earlier job. The end of such a run may be late: it was taken for lost while the agent
+    // was silent.
+    if (known == agent.outstanding.end() || known->second.orderNumber != end.order()) {
         return; // already reported as ended or lost
     }
     const auto run = known->second;
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -68,7 +68,7 @@
         envelope.set_stamp_us(toStamp(time.now()));
         envelope.set_echo_us(toStamp(time.now()));
         auto &orders = *envelope.mutable_dispatch_orders();
-        orders.set_epoch(1);
+        orders.set_epoch(epoch);
         orders.set_crashes_seen(crashesSeen[entry]);
         return envelope;
     }
@@ -200,6 +200,7 @@
     std::vector<incarnation_id> entries{incarnation_id{2}, incarnation_id{3}};
     std::map<incarnation_id, std::uint64_t> crashesSeen;
     std::uint64_t orderNumber = 0;
+    std::uint64_t epoch = 1; ///< of the entries
     fake_target target;
     dispatch_agent agent;
     std::vector<std::uint32_t> started;
@@ -450,3 +451,46 @@
     CHECK(fixture.target.running().size() == 1);
     CHECK_FALSE(fixture.ends.contains(0));
 }
+
+// Guards against an end that its entry attributes to a later run with the same name: the runs of a
+// job that is submitted again are numbered anew.
+TEST_CASE("the end of a run names the order message, in the newest epoch of its entry only")
+{
+    dispatch_agent_fixture fixture;
+    fixture.runTime = 200ms;
+    fixture.order(0, {1'000, 64, 0});
+    const auto first = fixture.orderNumber;
+    SUBCASE("the same epoch")
+    {
+        fixture.pass(300ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).order() == first);
+        // A refused order has an end as well.
+        fixture.order(1, {64'000, 64, 0}, true);
+        REQUIRE(fixture.ends.contains(1));
+        CHECK(fixture.ends.at(1).order() == fixture.orderNumber);
+    }
+    SUBCASE("a run that is ordered again while it is held")
+    {
+        fixture.order(0, {1'000, 64, 0});
+        fixture.pass(300ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).order() == first + 1);
+        CHECK(fixture.started.size() == 1);
+    }
+    SUBCASE("an epoch that begins before the end")
+    {
+        fixture.epoch = 2;
+        fixture.pass(300ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).order() == 0);
+    }
+    SUBCASE("an epoch that begins after the end")
+    {
+        fixture.pass(300ms);
+        fixture.epoch = 2;
+        fixture.pass(200ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).order() == 0);
+    }
+}
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -3,7 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
+#include <vector>
 
 using namespace bamboohead;
 using namespace bamboohead::dispatch_test;
@@ -231,8 +235,10 @@
         time.advance(50ms);
         auto report = reportOf(agentId, time.now());
         report.set_stamp_us(toStamp(time.now()));
+        report.mutable_dispatch_report()->set_peer_epoch(1);
         auto &end = *report.mutable_dispatch_report()->add_ends();
         end.set_number(1);
+        end.set_order(1);
         toWire(run_ref{{batch_job_id{1}, 0, 0}, 1}, *end.mutable_run());
         end.set_outcome(wire::RUN_OUTCOME_STOPPED);
         entry.receive(report);
@@ -305,8 +311,10 @@
         auto &message = *envelope.mutable_dispatch_report();
         message.set_reconcile(outcome || crash > 0 || runs.empty());
         if (outcome) {
+            message.set_peer_epoch(m_epoch);
             auto &end = *message.add_ends();
             end.set_number(++m_ends);
+            end.set_order(m_order);
             toWire(run_ref{{batch_job_id{1}, 0, 0}, runs[0]}, *end.mutable_run());
             end.set_outcome(*outcome);
             end.set_crash_possible(*outcome == wire::RUN_OUTCOME_LOST && crashPossible);
@@ -339,7 +347,10 @@
     {
         for (const auto &action : entry.takeActions()) {
             if (const auto *const message = std::get_if<send_message>(&action)) {
-                for (const auto &order : message->envelope.dispatch_orders().orders()) {
+                const auto &orders = message->envelope.dispatch_orders();
+                for (const auto &order : orders.orders()) {
+                    m_order = orders.number();
+                    m_epoch = orders.epoch();
                     suspect = order.suspect();
                     for (const auto &task : order.tasks()) {
                         runs[task.index()] = task.run();
@@ -351,7 +362,9 @@
         }
     }
 
-    std::uint64_t m_ends = 0; ///< number of the newest end
+    std::uint64_t m_ends = 0;  ///< number of the newest end
+    std::uint64_t m_order = 0; ///< number of the newest message with orders
+    std::uint64_t m_epoch = 0; ///< of that message
 };
 
 } // namespace
@@ -431,3 +444,113 @@
     CHECK(fixture.replies.empty());
     CHECK(fixture.entry.counters().tasksGivenUp == 0);
 }
+
+namespace {
+
+/// An entry and one agent that has run the task of a job whose caller has left. The agent was
+/// silent for longer than the run can have executed, and the same job was submitted again: its run
+/// has the same name.
+class resubmission_fixture
+{
+public:
+    resubmission_fixture()
+    {
+        time.advance(10s);
+        entry.handleConfig(stateWithOneRoute());
+        time.advance(500ms);
+        receive(makeReport(0, {}));
+        submit(1);
+        REQUIRE(entry.counters().runsOrdered == 1);
+        time.advance(100ms);
+        entry.callerDisconnected(caller_request{1});
+        time.advance(1'400ms);
+        entry.tick();
+        (void)entry.takeActions();
+        REQUIRE(entry.counters().runsLost == 1);
+        REQUIRE_FALSE(entry.stateOf(batch_job_id{1}));
+        receive(makeReport(1, {}));
+        submit(2);
+        REQUIRE(entry.counters().runsOrdered == 2);
+    }
+
+    /// A full report whose sender has handled messages of orders up to `handled`.
+    /// @param ends For each end: the order message of its run, and the outcome.
+    wire::Envelope makeReport(std::uint64_t handled,
+                              const std::vector<std::pair<std::uint64_t, wire::RunOutcome>> &ends)
+    {
+        time.advance(10ms);
+        auto envelope = reportOf(agentId, time.now());
+        envelope.set_stamp_us(toStamp(time.now()));
+        auto &report = *envelope.mutable_dispatch_report();
+        report.set_epoch(1);
+        report.set_peer_epoch(1);
+        report.set_orders_handled(handled);
+        std::uint64_t number = 0;
+        for (const auto &[order, outcome] : ends) {
+            auto &end = *report.add_ends();
+            end.set_number(++number);
+            end.set_order(order);
+            toWire(runName, *end.mutable_run());
+            end.set_outcome(outcome);
+        }
+        if (std::ranges::none_of(ends, [&](const auto &end) { return end.first == handled; })) {
+            toWire(runName, *report.add_held());
+        }
+        return envelope;
+    }
+
+    void receive(const wire::Envelope &envelope)
+    {
+        entry.receive(envelope);
+        entry.tick();
+        (void)entry.takeActions();
+    }
+
+    void submit(std::uint64_t request)
+    {
+        auto job = smallJob(1);
+        job.callerTimeout = 60s;
+        entry.submit(caller_request{request}, entry.config().routes.front(), job);
+        (void)entry.takeActions();
+    }
+
+    const run_ref runName{{batch_job_id{1}, 0, 0}, 1};
+    manual_clock time;
+    dispatch_entry entry{entryOptions(), time};
+};
+
+} // namespace
+
+// Guards against a task that is started a second time while its run executes, or whose job is
+// answered before it has run: the late end of an earlier run has the same name.
+TEST_CASE("the end of an earlier run with the same name does not end a later one")
+{
+    auto outcome = wire::RUN_OUTCOME_STOPPED;
+    SUBCASE("the earlier run was stopped")
+    {}
+    SUBCASE("the earlier run was done")
+    {
+        outcome = wire::RUN_OUTCOME_DONE;
+    }
+    struct late_report
+    {
+        std::uint64_t handled; ///< newest message of orders that the agent has handled
+        std::uint64_t epoch;   ///< of the entry, as known to the agent
+        std::uint64_t order;   ///< of the run that has ended
+    };
+    // Sent before the agent has received the new order, after that, and before the agent knew the
+    // entry's epoch.
+    for (const auto &late : {late_report{1, 1, 1}, late_report{2, 1, 1}, late_report{2, 0, 2}}) {
+        CAPTURE(late.handled);
+        CAPTURE(late.epoch);
+        resubmission_fixture fixture;
+        auto report = fixture.makeReport(late.handled, {{late.order, outcome}});
+        report.mutable_dispatch_report()->set_peer_epoch(late.epoch);
+        fixture.receive(report);
+        CHECK(fixture.entry.counters().runsOrdered == 2);
+        CHECK(fixture.entry.counters().succeeded == 0);
+        fixture.receive(fixture.makeReport(2, {{1, outcome}, {2, wire::RUN_OUTCOME_DONE}}));
+        CHECK(fixture.entry.counters().runsOrdered == 2);
+        CHECK(fixture.entry.counters().succeeded == 1);
+    }
+}
