Take no run for lost while an agent has further ends to report

Tasks that ended as done were repeated: a full report has at most 500 ends, and a run that its list of held runs lacks was taken for lost. Ends beyond 500 in an early report waited for a full one, and a stopping agent took them for sent.

A full report now states whether it lacks ends; the entry then compares no lists. Ends that no report contained yet are sent in further messages at once, and are counted as unsent until then.

Tests: 1,200 runs of an agent that end together, also before it stops; an entry that receives a full report without all ends; two jobs of 1,200 tasks on one agent of a simulated fleet.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -136,11 +136,8 @@
         std::uint64_t ordersHandled = 0;   ///< number of the newest handled message of orders
         std::uint64_t newestEndNumber = 0; ///< number of the newest end of a run
         std::deque<wire::RunEnd> unacked;  ///< unacknowledged ends, oldest first
-        /// How many of the newest `unacked` ends were added since the newest report. 0 after each
-        /// report, although a report contains at most 500 ends; later full reports contain the
-        /// other ones.
-        std::size_t unsent = 0;
-        duration idleInterval{};       ///< that the entry asks for; 0: idleHeartbeatInterval
+        std::size_t unsent = 0;  ///< how many of the newest `unacked` ends no report contained yet
+        duration idleInterval{}; ///< that the entry asks for; 0: idleHeartbeatInterval
         time_point lastFullReport;     ///< default value: a full report is due
         time_point lastReport;         ///< time of the newest report of any kind
         std::uint64_t reportedCpu = 0; ///< CPU demand of the running tasks in the newest report
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -574,6 +574,9 @@
             // If a full report is due soon, it replaces the early one.
             sendReport(incarnation, entry, sinceFullReport >= interval / 2);
         }
+        while (entry.unsent > 0) {
+            sendReport(incarnation, entry, false);
+        }
     }
 }
 
@@ -603,15 +606,16 @@
     report.set_orders_handled(state.ordersHandled);
     report.set_epoch(state.epoch);
     report.set_peer_epoch(state.peerEpoch);
-    const auto count = std::min(full ? state.unacked.size() : state.unsent, maxEndsPerReport);
     const auto first = full ? 0 : state.unacked.size() - state.unsent;
-    for (auto index = first; index < first + count; ++index) {
+    const auto last = std::min(first + maxEndsPerReport, state.unacked.size());
+    for (auto index = first; index < last; ++index) {
         *report.add_ends() = state.unacked[index];
     }
-    state.unsent = 0;
+    state.unsent = std::min(state.unsent, state.unacked.size() - last);
     if (full) {
         state.lastFullReport = m_member.now();
         report.set_reconcile(true);
+        report.set_ends_incomplete(last < state.unacked.size());
         for (const auto &[ref, run] : m_runs) {
             if (run.entry == entry) {
                 toWire(ref, *report.add_held());
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -92,7 +92,7 @@
         }
     }
     handleCrashes(agent, report);
-    if (report.reconcile() && report.peer_epoch() == agent.epoch) {
+    if (report.reconcile() && !report.ends_incomplete() && report.peer_epoch() == agent.epoch) {
         reconcile(agent, report);
     }
     m_dispatchDue = true;
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -123,6 +123,8 @@
                 agent.handleCallResult(execute(*call));
             } else if (const auto *const sent = std::get_if<send_message>(&action)) {
                 handleReport(sent->envelope);
+            } else if (std::holds_alternative<shutdown_complete>(action)) {
+                endsAtShutdown = ends.size();
             }
         }
     }
@@ -179,6 +181,9 @@
         for (const auto &end : report.ends()) {
             ends[end.run().index()] = end;
         }
+        if (report.reconcile() && envelope.receiver() == 2) {
+            fullReport = report;
+        }
         for (const auto &crashed : report.crashed()) {
             crashes[incarnation_id{envelope.receiver()}].push_back(crashed.index());
         }
@@ -206,6 +211,8 @@
     std::vector<std::uint32_t> started;
     bool overloaded = false; ///< a start has exceeded the capacity
     std::map<std::uint32_t, wire::RunEnd> ends;
+    wire::DispatchReport fullReport;           ///< newest full report to the entry 2
+    std::optional<std::size_t> endsAtShutdown; ///< reported ends when the shutdown was complete
     std::map<incarnation_id, std::vector<std::uint32_t>> crashes; ///< as reported to each entry
 };
 
@@ -452,6 +459,41 @@
     CHECK_FALSE(fixture.ends.contains(0));
 }
 
+// Guards against runs that have ended as done and that their entry takes for lost, because a report
+// has at most 500 ends, and against ends that wait for the next full report.
+TEST_CASE("all ends of runs that end together are reported at once")
+{
+    dispatch_agent_fixture fixture;
+    fixture.target.maxListedEnds = 10'000;
+    fixture.runTime = 500ms;
+    constexpr std::uint32_t runs = 1'200;
+    for (std::uint32_t index = 0; index < runs; ++index) {
+        fixture.sendOrder(index, {20, 1, 0}, true, false, incarnation_id{2});
+    }
+    fixture.pass(400ms);
+    REQUIRE(fixture.started.size() == runs);
+    REQUIRE(fixture.ends.empty());
+    CHECK(fixture.fullReport.held_size() == runs);
+    CHECK_FALSE(fixture.fullReport.ends_incomplete());
+    while (fixture.target.running().size() == runs) {
+        fixture.pass(10ms);
+    }
+    SUBCASE("to an entry that continues")
+    {
+        fixture.pass(10ms);
+        CHECK(fixture.ends.size() == runs);
+        fixture.pass(200ms);
+        CHECK(fixture.fullReport.ends_size() < static_cast<int>(runs));
+        CHECK(fixture.fullReport.ends_incomplete());
+    }
+    SUBCASE("before the agent stops")
+    {
+        fixture.agent.stop();
+        fixture.pass(50ms);
+        CHECK(fixture.endsAtShutdown == runs);
+    }
+}
+
 // Guards against an end that its entry attributes to a later run with the same name: the runs of a
 // job that is submitted again are numbered anew.
 TEST_CASE("the end of a run names the order message, in the newest epoch of its entry only")
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -554,3 +554,27 @@
         CHECK(fixture.entry.counters().succeeded == 1);
     }
 }
+
+// Guards against a task that has ended as done and runs again, because the report that no longer
+// lists its run has no room for its end.
+TEST_CASE_FIXTURE(resubmission_fixture,
+                  "a run that is missing from a report without all ends is not taken for lost")
+{
+    auto report = makeReport(2, {});
+    report.mutable_dispatch_report()->clear_held();
+    report.mutable_dispatch_report()->set_ends_incomplete(true);
+    receive(report);
+    CHECK(entry.counters().runsOrdered == 2);
+    SUBCASE("its end arrives")
+    {
+        receive(makeReport(2, {{1, wire::RUN_OUTCOME_STOPPED}, {2, wire::RUN_OUTCOME_DONE}}));
+        CHECK(entry.counters().succeeded == 1);
+    }
+    SUBCASE("a report with all ends shows that it was not received")
+    {
+        report = makeReport(2, {});
+        report.mutable_dispatch_report()->clear_held();
+        receive(report);
+        CHECK(entry.counters().runsOrdered == 3);
+    }
+}
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -160,3 +160,27 @@
     CHECK(share >= 0.9);
     CHECK(fleet.violations().empty());
 }
+
+TEST_CASE("load pattern: tasks of wide jobs that end together run once")
+{
+    // Agents and targets report at most 500 ends at a time. Guards against tasks that have ended as
+    // done and run again, because their ends are not in the first report.
+    fleet_simulation::options options;
+    options.entries = 1;
+    options.agents = 1;
+    options.tickLength = 2ms;
+    fleet_simulation fleet{options};
+    fleet.runFor(3s);
+    batch_step work;
+    work.count = 1'200;
+    work.demand = {10, 1, 0};
+    work.estimate = 400ms;
+    fleet.submit(quoteRoute(), work, "spec", 30s);
+    fleet.submit(quoteRoute(), work, "spec", 30s);
+    fleet.runFor(5s);
+    CHECK(fleet.starts() == 2 * work.count);
+    for (const auto &[id, job] : fleet.jobs()) {
+        CHECK(job.answer == batch_job_state::succeeded);
+    }
+    CHECK(fleet.violations().empty());
+}
