Read the messages that wait before agents are judged silent

Tasks that ended as done while their entry was suspended were started again: after a suspension the tick came first, and took the runs of all agents for lost whose newest message had been handled 1,400 ms before, although newer ones were waiting. The leases had ended by then, so no task executed twice at the same time.

Each tick now receives the waiting messages before it calls the core. A message that ZeroMQ has not read from its connection yet still comes late.

Test: an entry process whose event loop is not run for 1,600 ms while its agent reports an end. Without the change the job does not succeed.

--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -68,7 +68,8 @@
 /// threads costs a wake-up. A log on standard output has no writer thread.
 ///
 /// One pass receives the waiting messages and carries out the core's pending actions. Each tick
-/// polls the store, calls the core's tick() for its time-outs, and makes a pass.
+/// polls the store, receives the waiting messages, calls the core's tick() for its time-outs, and
+/// makes a pass.
 /// @tparam Core dispatch_entry or dispatch_agent
 template <typename Core>
 class dispatch_loop
@@ -171,8 +172,7 @@
     {
         m_passScheduled = false;
         m_lastPass = std::chrono::steady_clock::now();
-        m_transport.receiveAll([this](const wire::Envelope &envelope) { m_core.receive(envelope); },
-                               maxInputsPerPass);
+        receiveMessages();
         if (m_handleBeforeActions) {
             m_handleBeforeActions();
         }
@@ -182,6 +182,12 @@
         }
     }
 
+    void receiveMessages()
+    {
+        m_transport.receiveAll([this](const wire::Envelope &envelope) { m_core.receive(envelope); },
+                               maxInputsPerPass);
+    }
+
     void performActions()
     {
         for (auto &next : m_core.takeActions()) {
@@ -229,6 +235,8 @@
             m_handleTick();
         }
         pollStore();
+        // After a suspension, peers whose messages wait have not been silent.
+        receiveMessages();
         m_core.tick();
         pass();
         m_transport.maintain();
--- a/tests/dispatch_entry_process_test.cpp
+++ b/tests/dispatch_entry_process_test.cpp
@@ -48,7 +48,10 @@
         m_transport.receiveAll(
                 [this](const wire::Envelope &envelope) {
                     (void)m_member.receive(envelope);
-                    m_orders += envelope.dispatch_orders().orders_size();
+                    if (envelope.dispatch_orders().orders_size() > 0) {
+                        m_newestOrders = envelope.dispatch_orders();
+                        m_orders += m_newestOrders.orders_size();
+                    }
                 },
                 100);
         m_member.tick();
@@ -62,6 +65,11 @@
             report.set_service("quotes");
             report.set_target("i-1");
             toWire(resources{32'000, 65'536, 0}, *report.mutable_capacity());
+            if (m_done) {
+                report.set_peer_epoch(m_newestOrders.epoch());
+                report.set_orders_handled(m_newestOrders.number());
+                *report.add_ends() = *m_done;
+            }
             m_member.send(entry->incarnation, std::move(envelope));
         }
         for (const auto &action : m_member.takeActions()) {
@@ -74,10 +82,25 @@
 
     int orders() const { return m_orders; }
 
+    /// The run of the newest order is done; all later reports contain its end.
+    void finishRun()
+    {
+        const auto &order = m_newestOrders.orders(0);
+        m_done.emplace();
+        m_done->set_number(1);
+        toWire(run_ref{{batch_job_id{order.job()}, order.step(), order.tasks(0).index()},
+                       order.tasks(0).run()},
+               *m_done->mutable_run());
+        m_done->set_outcome(wire::RUN_OUTCOME_DONE);
+        m_done->set_order(m_newestOrders.number());
+    }
+
 private:
     transport m_transport;
     fleet_member m_member;
     int m_orders = 0;
+    wire::DispatchOrders m_newestOrders;
+    std::optional<wire::RunEnd> m_done;
 };
 
 /// Entry process and one agent. The entry does nothing while its event loop is not run, like a
@@ -221,3 +244,19 @@
     CHECK(response.starts_with("HTTP/1.1 503"));
     CHECK(process.core().counters().submitted == 0);
 }
+
+// Guards against tasks that have ended as done and run again, because a process that was suspended
+// judges the silence of its agents before it has read the messages that wait.
+TEST_CASE_FIXTURE(entry_process_fixture,
+                  "after a suspension the messages that wait are read before an agent is silent")
+{
+    connectAgent(true);
+    const auto caller = submitJob();
+    REQUIRE(runUntil([&] { return agent.orders() == 1; }));
+    agent.finishRun();
+    agent.exchange(agentReady);
+    std::this_thread::sleep_for(dispatch_entry_limits{}.runLossTimeout + 200ms);
+    REQUIRE(runUntil([&] { return process.core().counters().succeeded == 1; }));
+    CHECK(process.core().counters().runsLost == 0);
+    CHECK(agent.orders() == 1);
+}
