Test the time after which the runs of a silent agent are repeated

An entry repeats the runs of an agent 1,400 ms after it has handled the newest message; the agent counts from the newest stamp that the entry has echoed.

The tests compare this sum with the limits, and run schedules in which messages are held up in one direction and delivered together, processes are suspended, and calls to targets are lost or executed late.

With a time of 700 ms the schedules find such runs.

--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -141,6 +141,11 @@
     return *m_processes.at(agentName(number))->agent;
 }
 
+dispatch_entry &fleet_simulation::entryAt(unsigned number)
+{
+    return *m_processes.at(entryName(number))->entry;
+}
+
 // Time
 
 void fleet_simulation::at(time_point when, std::function<void()> action)
@@ -246,7 +251,9 @@
         traffic.bytes += bytes;
     }
     const auto delay = std::chrono::microseconds{500 + random(1'500)};
-    at(now() + delay, [this, message] {
+    const auto held = m_heldMessages.find({from.endpoint, message.endpoint});
+    const auto sent = held == m_heldMessages.end() ? now() : std::max(now(), held->second);
+    at(sent + delay, [this, message] {
         const auto found = m_processes.find(message.endpoint);
         if (found == m_processes.end() || !found->second->alive()) {
             return;
@@ -331,6 +338,12 @@
     m_partitions[{from, to}] = now() + length;
 }
 
+void fleet_simulation::holdMessages(const std::string &from, const std::string &to, duration length)
+{
+    trace(from, {"messages_held", {{"to", to}, {"us", std::to_string(length.count())}}});
+    m_heldMessages[{from, to}] = now() + length;
+}
+
 void fleet_simulation::crashTarget(unsigned number, duration downFor, bool sameId)
 {
     auto &target = *m_targets.at(number);
--- a/tests/dispatch/fleet_simulation.hpp
+++ b/tests/dispatch/fleet_simulation.hpp
@@ -107,6 +107,8 @@
     void partition(const std::string &first, const std::string &second, duration length);
     /// @brief Blocks messages in one direction only.
     void partitionOneWay(const std::string &from, const std::string &to, duration length);
+    /// @brief Delivers the messages that are sent in one direction in the next time at its end.
+    void holdMessages(const std::string &from, const std::string &to, duration length);
     /// @brief Crashes a target with all its runs, and starts it again after `downFor`.
     /// @param sameId Whether it starts again under its old id.
     void crashTarget(unsigned number, duration downFor, bool sameId);
@@ -118,6 +120,7 @@
     [[nodiscard]] std::string agentName(unsigned number) const;
     [[nodiscard]] fake_target &targetOf(unsigned number);
     [[nodiscard]] dispatch_agent &agentAt(unsigned number);
+    [[nodiscard]] dispatch_entry &entryAt(unsigned number);
     /// @brief Random number from 0 to `below` - 1.
     [[nodiscard]] unsigned random(unsigned below);
 
@@ -166,6 +169,8 @@
     std::map<std::string, std::unique_ptr<process>> m_processes;
     /// End of each partition, by sender and receiver of the blocked messages.
     std::map<std::pair<std::string, std::string>, time_point> m_partitions;
+    /// End of each holdMessages(), by sender and receiver of the messages.
+    std::map<std::pair<std::string, std::string>, time_point> m_heldMessages;
     std::vector<std::unique_ptr<fake_target>> m_targets;
     std::map<batch_job_id, tracked_job> m_jobs;
     /// Job and entry endpoint of each request that has no answer yet.
--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -139,6 +139,49 @@
     return count;
 }
 
+struct held_schedule_result
+{
+    std::vector<std::string> violations;
+    std::uint64_t runsLost = 0;
+};
+
+/// Runs long tasks while messages between the entry and its agents are held up and delivered late,
+/// processes are suspended, and calls to the targets, stops included, are lost or executed late.
+held_schedule_result runHeldSchedule(fleet_simulation::options options)
+{
+    options.entries = 1;
+    options.agents = 3;
+    fleet_simulation fleet{options};
+    fleet.runFor(3s);
+    const auto start = fleet.now();
+    fleet.faults.callTimeoutPercent = options.seed % 2 == 0 ? 0 : 30;
+    for (unsigned number = 0; number < 12; ++number) {
+        fleet.at(start + std::chrono::milliseconds{fleet.random(8'000)},
+                 [&fleet] { fleet.submit(1, 3s, 20s); });
+        fleet.at(start + 100ms + std::chrono::milliseconds{fleet.random(9'000)}, [&fleet] {
+            const auto entry = fleet.entryName(0);
+            const auto agent = fleet.agentName(fleet.random(3));
+            const duration length = std::chrono::milliseconds{300 + fleet.random(2'500)};
+            switch (fleet.random(5)) {
+            case 0:
+                fleet.suspend(entry, length);
+                break;
+            case 1:
+                fleet.suspend(agent, length);
+                break;
+            case 2:
+                fleet.holdMessages(entry, agent, length);
+                break;
+            default:
+                fleet.holdMessages(agent, entry, length);
+                break;
+            }
+        });
+    }
+    fleet.runFor(14s);
+    return {fleet.violations(), fleet.entryAt(0).counters().runsLost};
+}
+
 } // namespace
 
 TEST_CASE("dispatch schedule: under random faults no task runs twice at once and no target's "
@@ -162,6 +205,53 @@
     }
 }
 
+// Guards against a silence that is counted from other events than the rights of runs: the entry
+// counts from the handling of a message, the agent from the sending of the stamp that the entry has
+// echoed, and messages may wait in queues between the two.
+TEST_CASE("dispatch schedule: under late messages no task runs twice at once")
+{
+    std::uint64_t runsLost = 0;
+    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+        CAPTURE(seed);
+        fleet_simulation::options options;
+        options.seed = seed;
+        options.trace = std::getenv("DISPATCH_TRACE") != nullptr;
+        const auto result = runHeldSchedule(options);
+        for (const auto &violation : result.violations) {
+            CAPTURE(violation);
+            CHECK(false);
+        }
+        runsLost += result.runsLost;
+    }
+    CHECK(runsLost > seedCount());
+}
+
+TEST_CASE("dispatch schedule: the checks find runs that are repeated after too short a silence")
+{
+    std::size_t violations = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        fleet_simulation::options options;
+        options.seed = seed;
+        options.entryLimits.runLossTimeout = 700ms;
+        violations += runHeldSchedule(options).violations.size();
+    }
+    CHECK(violations > 0);
+}
+
+// The newest stamp that an entry echoes was handled not later than the newest message of the agent.
+// From that stamp on: the entry's lease at the agent, and the lease of the target by a clock that
+// is as slow as is allowed and counts whole milliseconds. Orders are accepted no longer than runs
+// continue.
+TEST_CASE("dispatch: runs of a silent agent are repeated later than their leases have ended")
+{
+    const dispatch_agent_limits agent;
+    const target_session_limits target;
+    const auto slowLease = target.lease * 1'000 / (1'000 - target.maxClockLagPerMille);
+    constexpr duration rounding = 2ms; // of the reading of the clock and of the end of the lease
+    CHECK(agent.maxOrderAge <= agent.entryLease);
+    CHECK(dispatch_entry_limits{}.runLossTimeout > agent.entryLease + slowLease + rounding);
+}
+
 TEST_CASE("dispatch schedule: seeds that failed once")
 {
     // 1032: after a restart of the target, a run that was active in the new lifetime was marked as
