Bound leases from the first listing of a lifetime

A run was reported as lost, and its task could start elsewhere, while the target still executed it.

Cause: a start or list call of the earlier lifetime that is executed late in the next one names a lease end on another clock, so only the maximum lease of 1 s bounds it. The session counted that second from the moment at which the lifetime became known. The lifetime executes such calls until it has acknowledged the raised fence, which may be seconds later.

The other tests passed before: a mutant that lengthens each lease by 400 ms fails them.

The maximum lease now also counts from the arrival of the first listing, which is made under the raised fence: older calls are refused from then on.

--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -327,6 +327,9 @@
     time_point m_clockSampleTime;              ///< when `m_clockSample` was received
     std::int64_t m_leaseEnd = 0;     ///< latest lease end that was sent, on the target's clock
     time_point m_lifetimeKnownSince; ///< when the current lifetime of the target became known
+    /// Arrival of the first listing of the newest lifetime that has answered. From then on that
+    /// lifetime executes no call that was made before it was known.
+    time_point m_firstListing;
     std::optional<time_point> m_lastListing; ///< arrival of the newest reply to a list call
     time_point m_newestAnsweredCall;         ///< when the newest list call with a reply was made
     time_point m_lastStart;                  ///< when the newest start call was made
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -431,13 +431,14 @@
            m_leaseEnd + toSignedMilliseconds(m_limits.leaseExpiryMargin);
 }
 
-/// A start that was sent to the earlier lifetime may have been executed by the current one just
-/// before it became known. The lease end of that start refers to another clock, so only the maximum
-/// lease bounds it.
+/// A start or list call that was sent to the earlier lifetime may have been executed by the current
+/// one until the first listing under the raised fence. Its lease end refers to another clock, so
+/// only the maximum lease bounds it.
 bool target_session::earlierStartsCertainlyExpired() const
 {
     const auto longest = m_limits.maxLease * (perMille + m_limits.maxClockLagPerMille) / perMille;
-    return m_clock.now() - m_lifetimeKnownSince > longest + m_limits.leaseExpiryMargin;
+    const auto latestExecution = std::max(m_lifetimeKnownSince, m_firstListing);
+    return m_clock.now() - latestExecution > longest + m_limits.leaseExpiryMargin;
 }
 
 void target_session::sendList(bool longPoll)
@@ -630,6 +631,9 @@
             log("target_answers_again", {{"target", m_target->lifetime.id}});
         }
         m_listFailures = 0;
+        if (!m_lastListing) {
+            m_firstListing = m_clock.now();
+        }
         m_lastListing = m_clock.now();
         m_nextList = m_clock.now();
         m_newestAnsweredCall = std::max(m_newestAnsweredCall, call.sent);
