Ignore the clock of another target that answers a call

A run was reported as lost before its lease had ended when another target answered at the address of its target.

Cause: the session recorded the clock of each reply, also of one that says that another target has answered. A clock that is ahead makes the lease count as expired.

Evidence: the new test failed before. The clock is now taken only from replies of the target itself.

--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -560,7 +560,8 @@
         handleCandidateReply(call, reply);
         return;
     }
-    if (reply.clockMs) {
+    // Another target's clock says nothing about the lease of this one.
+    if (reply.clockMs && reply.status != call_status::wrong_target) {
         recordClock(*reply.clockMs);
     }
     if (call.kind == call_kind::start) {
--- a/tests/target_session_lease_test.cpp
+++ b/tests/target_session_lease_test.cpp
@@ -168,6 +168,38 @@
     CHECK(fixture.endedWhileRunning == 0);
 }
 
+// Guards against a task that is started elsewhere while its run executes: the clock of another
+// target, which answered at the address, was taken for the clock by which the lease ends.
+TEST_CASE("the clock of another target does not end the lease of a run")
+{
+    leased_target fixture;
+    fixture.pass(2s); // calls of earlier lifetimes bound nothing any more
+    fixture.start(0);
+    fixture.pass(100ms);
+    fixture.advance(190ms); // long polls are answered after 200 ms
+    const auto lists = fixture.makeListCalls(2);
+    REQUIRE(fixture.target.call(lists[0], fixture.time.now()).status == call_status::accepted);
+    fixture.session.handle(unanswered(lists[0]));
+    const auto wrongTarget = [](const target_call &call) {
+        return target_reply{headerOf(call).id,
+                            call_status::wrong_target,
+                            call_refusal::none,
+                            1'000'000'000,
+                            {}};
+    };
+    fixture.session.handle(wrongTarget(lists[1]));
+    for (int round = 0; round < 150; ++round) {
+        fixture.advance(10ms);
+        fixture.tick();
+        for (const auto &call : fixture.session.takeCalls()) {
+            fixture.session.handle(wrongTarget(call));
+        }
+        fixture.checkOutcomes();
+    }
+    CHECK(fixture.outcomes == 1);
+    CHECK(fixture.endedWhileRunning == 0);
+}
+
 // Guards against a run that outlives its failed agent because the target executes the agent's last
 // list calls late: a lease that counted from the execution of the call would be renewed by each.
 TEST_CASE("list calls that are executed after their agent has failed extend no lease")
