Match HTTP responses to their calls on kept connections

A call could receive the response to an earlier call on its connection, for example a 409 that says that a run was not started. A call on a connection that the peer had closed while it was idle ended without an answer, which leaves a start in doubt.

Cause: bytes after a response stayed on the connection or were dropped, an interim response (1xx) counted as the response, and an idle connection was used without a look at it.

Interim responses are skipped. A connection is kept only if nothing follows the response, and used again only if nothing has arrived, the end of the connection included. Bytes that arrive after the next request was sent cannot be told apart.

--- a/src/adapters/async_http_client.cpp
+++ b/src/adapters/async_http_client.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,20 @@
 /// does not answer then delay other calls only by this time.
 constexpr duration connectionWait = std::chrono::milliseconds{10};
 
+/// Whether nothing has arrived on an idle connection. The peer may have closed it, or may have sent
+/// bytes that no call has asked for; they would be taken for the response to the next call.
+bool isQuiet(beast::tcp_stream &stream)
+{
+    char byte = 0;
+    error_code error;
+    stream.socket().non_blocking(true, error);
+    if (error) {
+        return false;
+    }
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 } // namespace
 
 class async_http_client::implementation : public std::enable_shared_from_this<implementation>
@@ -84,7 +99,8 @@
                 waitTimer; ///< set while the call waits for a connection
         std::unique_ptr<beast::tcp_stream> stream;
         beast::flat_buffer buffer;
-        http::response_parser<http::string_body> parser;
+        /// Renewed after an interim response.
+        std::optional<http::response_parser<http::string_body>> parser;
     };
 
     using pending_call_ptr = std::shared_ptr<pending_call>;
@@ -113,6 +129,9 @@
     {
         auto &pool = m_connections[pending->address];
         ++pool.inUse;
+        while (!pool.idle.empty() && !isQuiet(*pool.idle.back())) {
+            pool.idle.pop_back();
+        }
         if (pool.idle.empty()) {
             connect(pending);
             return;
@@ -160,24 +179,35 @@
 
     void receive(const pending_call_ptr &pending)
     {
-        pending->parser.body_limit(maxResponseBytes);
-        http::async_read(*pending->stream, pending->buffer, pending->parser,
+        pending->parser.emplace();
+        pending->parser->body_limit(maxResponseBytes);
+        http::async_read(*pending->stream, pending->buffer, *pending->parser,
                          [self = shared_from_this(), pending](error_code error, std::size_t) {
+                             if (!error && isInterim(pending->parser->get())) {
+                                 self->receive(pending);
+                                 return;
+                             }
                              self->finish(pending, error ? http_call_end::unanswered
                                                          : http_call_end::answered);
                          });
     }
 
+    /// Whether the response to the request is still to follow.
+    static bool isInterim(const http_client_response &response)
+    {
+        return http::to_status_class(response.result_int()) == http::status_class::informational;
+    }
+
     void finish(const pending_call_ptr &pending, http_call_end end)
     {
         if (m_stopped) {
             return;
         }
-        const auto &response = pending->parser.get();
+        const auto response = pending->parser ? pending->parser->release() : http_client_response{};
         auto &pool = m_connections[pending->address];
         --pool.inUse;
         if (end == http_call_end::answered && response.keep_alive() &&
-            pool.idle.size() < preferredConnections) {
+            pending->buffer.size() == 0 && pool.idle.size() < preferredConnections) {
             pending->stream->expires_never();
             pool.idle.push_back(std::move(pending->stream));
         }
--- a/tests/async_http_client_test.cpp
+++ b/tests/async_http_client_test.cpp
@@ -1,5 +1,8 @@
 #include "bamboohead/async_http_client.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <httplib.h>
 
@@ -8,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <thread>
+#include <vector>
 
 using namespace bamboohead;
 using namespace std::chrono_literals;
@@ -59,11 +63,112 @@
     std::thread m_thread;
 };
 
+/// Server that answers its n-th request with the n-th text, as it is, and in parts when several
+/// texts are given. It serves one connection at a time.
+class scripted_server
+{
+public:
+    struct answer
+    {
+        std::vector<std::string> parts; ///< 30 ms are between two of them
+        bool close = false;             ///< closes the connection after the answer
+    };
+
+    explicit scripted_server(std::vector<answer> answers)
+        : m_answers{std::move(answers)}
+        , m_acceptor{m_context, {boost::asio::ip::address_v4::loopback(), 0}}
+        , m_thread{[this] { serve(); }}
+    {}
+
+    ~scripted_server()
+    {
+        m_stopped = true;
+        boost::system::error_code ignored;
+        // Wakes the thread if it waits for a connection.
+        boost::asio::ip::tcp::socket{m_context}.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+    }
+
+    scripted_server(const scripted_server &) = delete;
+    scripted_server &operator=(const scripted_server &) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    int requests() const { return m_requests; }
+
+private:
+    void serve()
+    {
+        while (!m_stopped) {
+            auto connection = m_acceptor.accept();
+            std::string received;
+            boost::system::error_code error;
+            while (!m_stopped) {
+                const auto size = boost::asio::read_until(
+                        connection, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+                if (error) {
+                    break;
+                }
+                received.erase(0, size);
+                const auto number = static_cast<std::size_t>(m_requests++);
+                if (number >= m_answers.size()) {
+                    break;
+                }
+                const auto &next = m_answers[number];
+                for (std::size_t part = 0; part < next.parts.size(); ++part) {
+                    std::this_thread::sleep_for(part == 0 ? 0ms : 30ms);
+                    boost::asio::write(connection, boost::asio::buffer(next.parts[part]), error);
+                }
+                if (next.close) {
+                    break;
+                }
+            }
+        }
+    }
+
+    std::vector<answer> m_answers;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopped = false;
+    std::atomic<int> m_requests = 0;
+    std::thread m_thread;
+};
+
+std::string response(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// Outcome of a call: its end, and the body of the response.
+struct call_result
+{
+    std::optional<http_call_end> end;
+    std::string body;
+};
+
 http_client_request get(const std::string &path)
 {
     return http_client_request{boost::beast::http::verb::get, path, 11};
 }
 
+/// Makes a call, waits for its end, and leaves the connection idle for 100 ms.
+call_result callAndWait(boost::asio::io_context &context, async_http_client &client,
+                        const std::string &address, duration timeout = 1s)
+{
+    call_result result;
+    client.call(address, get("/"), timeout,
+                [&](http_call_end end, const http_client_response &received) {
+                    result = {end, received.body()};
+                });
+    context.restart();
+    context.run_for(timeout + 1s);
+    std::this_thread::sleep_for(100ms);
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("a burst of HTTP calls shares a few connections")
@@ -126,3 +231,104 @@
     }
     CHECK(server.connections() == 0);
 }
+
+// Guards against a start that is taken for refused, and repeated elsewhere, because the response to
+// an earlier call on its connection was taken for its own.
+TEST_CASE("bytes that follow an HTTP response are not taken for the response to the next call")
+{
+    const auto first = response("200 OK", "first");
+    const auto stray = response("409 Conflict", "stray");
+    scripted_server::answer answer;
+    SUBCASE("in the same segment")
+    {
+        answer = {{first + stray}};
+    }
+    SUBCASE("later")
+    {
+        answer = {{first, stray}};
+    }
+    SUBCASE("after an interim response")
+    {
+        answer = {{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", first}};
+    }
+    SUBCASE("after an interim response in the same segment")
+    {
+        answer = {{"HTTP/1.1 100 Continue\r\n\r\n" + first}};
+    }
+    scripted_server server{{answer, {{response("200 OK", "second")}}}};
+    boost::asio::io_context context;
+    async_http_client client{context};
+    const auto one = callAndWait(context, client, server.address());
+    CHECK(one.end == http_call_end::answered);
+    CHECK(one.body == "first");
+    const auto two = callAndWait(context, client, server.address());
+    CHECK(two.end == http_call_end::answered);
+    CHECK(two.body == "second");
+}
+
+// Guards against a start whose outcome is unknown only because the target had closed the connection
+// before the call was made.
+TEST_CASE("an HTTP connection that the peer has closed is not used for another call")
+{
+    scripted_server server{
+            {{{response("200 OK", "first")}, true}, {{response("200 OK", "second")}}}};
+    boost::asio::io_context context;
+    async_http_client client{context};
+    CHECK(callAndWait(context, client, server.address()).body == "first");
+    const auto two = callAndWait(context, client, server.address());
+    CHECK(two.end == http_call_end::answered);
+    CHECK(two.body == "second");
+    CHECK(server.requests() == 2);
+}
+
+// Guards against a task that runs twice because its start was repeated, or counted as not sent,
+// after its bytes had left.
+TEST_CASE("an HTTP request that was sent is sent once, and without a response it is unanswered")
+{
+    scripted_server::answer answer;
+    SUBCASE("closed without a response")
+    {
+        answer = {{}, true};
+    }
+    SUBCASE("closed within the body")
+    {
+        answer = {{"HTTP/1.1 409 Conflict\r\nContent-Length: 10\r\n\r\nab"}, true};
+    }
+    SUBCASE("closed within the header")
+    {
+        answer = {{"HTTP/1.1 503 Service Unav"}, true};
+    }
+    SUBCASE("no response before the deadline")
+    {
+        answer = {};
+    }
+    SUBCASE("an interim response only")
+    {
+        answer = {{"HTTP/1.1 100 Continue\r\n\r\n"}, true};
+    }
+    const scripted_server::answer complete{{response("200 OK", "")}};
+    for (const bool kept : {false, true}) {
+        CAPTURE(kept); // whether the connection was used before
+        auto answers = std::vector{answer};
+        if (kept) {
+            answers.insert(answers.begin(), complete);
+        }
+        scripted_server server{answers};
+        boost::asio::io_context context;
+        async_http_client client{context};
+        if (kept) {
+            CHECK(callAndWait(context, client, server.address()).end == http_call_end::answered);
+        }
+        CHECK(callAndWait(context, client, server.address(), 200ms).end ==
+              http_call_end::unanswered);
+        CHECK(server.requests() == (kept ? 2 : 1));
+    }
+}
+
+// Guards against a start that stays in doubt although no connection was established.
+TEST_CASE("an HTTP call to a port on which nothing listens is not sent")
+{
+    boost::asio::io_context context;
+    async_http_client client{context};
+    CHECK(callAndWait(context, client, "127.0.0.1:1").end == http_call_end::not_sent);
+}
