Send no HTTP request after the deadline of its call

A call that waited for a connection while the process was suspended was sent after its deadline; a start left long after its agent had decided on it.

Cause: the deadline was not looked at between the wait for a connection and the write.

The call now ends as not sent, which is true since nothing was written.

--- a/src/adapters/async_http_client.cpp
+++ b/src/adapters/async_http_client.cpp
@@ -167,6 +167,13 @@
 
     void send(const pending_call_ptr &pending)
     {
+        // A process that was suspended in between must not send what it decided long ago.
+        if (std::chrono::steady_clock::now() >= pending->deadline) {
+            asio::post(m_context, [self = shared_from_this(), pending] {
+                self->finish(pending, http_call_end::not_sent);
+            });
+            return;
+        }
         http::async_write(*pending->stream, pending->request,
                           [self = shared_from_this(), pending](error_code error, std::size_t) {
                               if (error) {
--- a/tests/async_http_client_test.cpp
+++ b/tests/async_http_client_test.cpp
@@ -332,3 +332,29 @@
     async_http_client client{context};
     CHECK(callAndWait(context, client, "127.0.0.1:1").end == http_call_end::not_sent);
 }
+
+// Guards against a start that leaves long after its agent has decided on it, since the agent was
+// suspended while the call waited for a connection.
+TEST_CASE("an HTTP call that waits for a connection is not sent after its deadline")
+{
+    counting_server server;
+    boost::asio::io_context context;
+    async_http_client client{context};
+    int slowAnswered = 0;
+    for (int call = 0; call < 4; ++call) {
+        client.call(server.address(), get("/slow"), 5s,
+                    [&](http_call_end end, const http_client_response &) {
+                        slowAnswered += end == http_call_end::answered ? 1 : 0;
+                    });
+    }
+    context.run_for(5ms);
+    std::optional<http_call_end> result;
+    client.call(server.address(), get("/"), 50ms,
+                [&](http_call_end end, const http_client_response &) { result = end; });
+    std::this_thread::sleep_for(700ms); // the process is suspended
+    context.restart();
+    context.run_for(1s);
+    CHECK(slowAnswered == 4);
+    CHECK(result == http_call_end::not_sent);
+    CHECK(server.connections() == 0);
+}
