--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -446,13 +446,14 @@
            std::chrono::milliseconds{left} * (perMille + m_limits.maxClockLagPerMille) / perMille;
 }
 
-/// A start that was sent to the earlier lifetime may have been executed by the current one just
-/// before it became known. The lease end of that start refers to another clock, so only the maximum
-/// lease bounds it.
+/// A start or list call that was sent to the earlier lifetime may have been executed by the current
+/// one until the first listing under the raised fence. Its lease end refers to another clock, so
+/// only the maximum lease bounds it.
 bool target_session::earlierStartsCertainlyExpired() const
 {
     const auto longest = m_limits.maxLease * (perMille + m_limits.maxClockLagPerMille) / perMille;
-    return m_clock.now() - m_lifetimeKnownSince > longest + m_limits.leaseExpiryMargin &&
+    const auto latestExecution = std::max(m_lifetimeKnownSince, m_firstListing);
+    return m_clock.now() - latestExecution > longest + m_limits.leaseExpiryMargin &&
            m_clock.now() > m_earlierLeasesEnd + m_limits.leaseExpiryMargin;
 }
 
@@ -608,7 +609,8 @@
         handleCandidateReply(call, reply);
         return;
     }
-    if (reply.clockMs) {
+    // Another target's clock says nothing about the lease of this one.
+    if (reply.clockMs && reply.status != call_status::wrong_target) {
         recordClock(*reply.clockMs);
     }
     if (call.kind == call_kind::start) {
@@ -680,6 +682,9 @@
             log("target_answers_again", {{"target", m_target->lifetime.id}});
         }
         m_listFailures = 0;
+        if (!m_lastListing) {
+            m_firstListing = m_clock.now();
+        }
         m_lastListing = m_clock.now();
         m_nextList = m_clock.now();
         m_newestAnsweredCall = std::max(m_newestAnsweredCall, call.sent);
