Take the cleared target from one report

A delayed full report of an older epoch is not used, but its capacity counted as that of a report which names the cleared target: runs of an earlier agent could be taken for lost when another target on the VM was cleared. Found by the review, by reading; no test shows it, as it takes two targets on a VM and an agent that has forgotten the entry.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -235,7 +235,8 @@
     void deferTask(const batch_task &task, time_point until);
     void releaseDeferredTasks();
     void requeueTask(job_record &job, const batch_task &task, incarnation_id avoidedAgent);
-    void markPredecessorRunsLost(const agent_view &successor, time_point echo);
+    void markPredecessorRunsLost(const agent_view &successor, const std::string &clearedTarget,
+                                 time_point echo);
     void removeSilentAgents();
     [[nodiscard]] error_kind refusalReason(const dispatch_route &route,
                                            const batch_submission &job) const;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -60,8 +60,9 @@
     auto &agent = known->second;
     agent.lastArrival = m_member.now();
     // Only full reports name the target that is cleared.
-    if (reported && envelope.dispatch_report().has_capacity() && agent.cleared && received.age) {
-        markPredecessorRunsLost(agent, m_member.now() - *received.age);
+    if (const auto &report = envelope.dispatch_report();
+        reported && report.has_capacity() && report.cleared() && received.age) {
+        markPredecessorRunsLost(agent, report.target(), m_member.now() - *received.age);
     }
 }
 
@@ -181,7 +182,8 @@
 ///             so an agent that has received a stamp of a time at which another one was known
 ///             already is the later one. Reports may be delayed, so the order of their arrival
 ///             shows nothing.
-void dispatch_entry::markPredecessorRunsLost(const agent_view &successor, time_point echo)
+void dispatch_entry::markPredecessorRunsLost(const agent_view &successor,
+                                             const std::string &clearedTarget, time_point echo)
 {
     for (auto &[incarnation, agent] : m_pool.agents()) {
         if (agent.endpoint != successor.endpoint || &agent == &successor ||
@@ -190,7 +192,7 @@
         }
         std::vector<run_ref> lost;
         for (auto &[ref, run] : agent.outstanding) {
-            if (run.target == successor.target) {
+            if (run.target == clearedTarget) {
                 lost.push_back(ref);
             } else {
                 run.startSettled = true;
