--- a/model/run_lease.pml
+++ b/model/run_lease.pml
@@ -22,7 +22,8 @@
  * because the agent is silent.
  *
  * Simplifications: a start call is delayed without limit, and a run in doubt waits as long; the
- * time after which such a call is taken as never executed is not modelled. The new lifetime
+ * time after which such a call is taken as never executed is not modelled. The program reports a run
+ * that has failed or was stopped although a voided start of its task is in doubt. The new lifetime
  * receives no order. The second start of a task, under a raised fence, has a reply.
  *
  * Assumptions that the protocol does not ensure; without either of them the specification
