Model the rule that a task with a start in doubt starts on no other target

A start call without an answer, or voided by a fence, may be executed by a later lifetime of its target under the same id. The model excluded two such paths by assumption and had one restart.

While such a start may be executed, the task now starts on that target only, when the agent has called the current lifetime under a raised fence and has stopped the runs that it does not know. An end with a start in doubt, and a successor that clears the lifetime before the start was reported as settled, bind the task; the agent tells all entries of runs that it has stopped. Ends as failed or stopped, and any number of lifetimes, are modelled.

What remains is one assumption: the entry fails, and the entry that receives the job again has not been told, since the agent has failed too, is suspended or does not reach it.

The doubt of an end is that at the time of the end. It must not be computed anew for each message, since the start may be executing by then.

--- a/model/run_lease.pml
+++ b/model/run_lease.pml
@@ -11,29 +11,38 @@
  *
  * Ages saturate one above the limit that they are compared with.
  *
- * Target 1 may end once and, after at least RESTART steps, start again under the same id. The new
- * lifetime has received no fence, and its clock began anew. Until an agent has called it under a
- * raised fence, it executes start and list calls that were sent to its predecessor, with the
- * maximum lease. So a start call without a reply is in doubt, also after a higher fence has
- * voided it in the lifetime to which it was sent. It is settled when a listing of that lifetime
- * shows the run and the call has not been voided, or when the next lifetime has answered under a
- * raised fence. While a start of the task is in doubt, the agent reports no end of the run,
- * whether its lease has expired or a stop is confirmed, and the entry does not repeat the run
- * because the agent is silent.
+ * Target 1 may end any number of times and, each time after at least RESTART steps, start again under
+ * the same id. A new lifetime has received no fence, and its clock began anew. Until an agent has
+ * called it under a raised fence, it executes start and list calls that were sent to an earlier
+ * lifetime, with the maximum lease. So a start call without a reply is in doubt, also after a higher
+ * fence has voided it in the lifetimes that have received the fence. It is settled when a listing
+ * shows the run and the call has not been voided.
  *
- * Simplifications: a start call is delayed without limit, and a run in doubt waits as long; the
- * time after which such a call is taken as never executed is not modelled. The program reports a run
- * that has failed or was stopped although a voided start of its task is in doubt. The new lifetime
- * receives no order. The second start of a task, under a raised fence, has a reply.
+ * While a start of the task may still be executed by target 1, the task starts on no other target:
+ * - An end of the run that is reported while a start is in doubt binds the task to target 1.
+ * - So does the successor of agent 1 when the newest report has not shown the start as settled.
+ * - The entry does not repeat a run in doubt because the agent is silent. The agent does not take it
+ *   for lost because its lease has expired.
+ * - When agent 1 stops or ends a run while a start is in doubt, it tells all other entries, and the
+ *   entry that receives the resubmitted job is bound if it has been told before.
+ * A bound task starts on target 1 when the agent has called the current lifetime under a raised
+ * fence and has no run of the task, and all unknown runs are stopped.
  *
- * Assumptions that the protocol does not ensure; without either of them the specification
- * violates an assertion:
- * - No call to the earlier lifetime is executed in the new one after entry 1 has ended. The entry
- *   that receives the resubmitted job does not know of a start in doubt. The macro
- *   LATE_CALLS_AFTER_ENTRY_LOSS removes this assumption.
- * - The same after a successor of agent 1 has cleared the earlier lifetime and entry 1 has
- *   learned it. The successor has voided the start in that lifetime only. The macro
- *   LATE_CALLS_AFTER_SUCCESSOR removes this assumption.
+ * Simplifications: a start call is delayed without limit, and a bound holds as long; the time after
+ * which such a call is taken as never executed is not modelled, nor is a target under another id. A
+ * new lifetime receives no order but that of the bound task. The second start of a task, under a
+ * raised fence, has a reply. Only the first run and its first repetition are modelled: a repeated
+ * run is ordered, stopped and repeated as the first one is. There are two entries. That entry 1
+ * answers at the job's time limit, after which the caller may submit the job again without
+ * RESUBMIT_DELAY, is not modelled.
+ *
+ * Assumption that the protocol does not ensure: no later lifetime executes calls to an earlier one
+ * after entry 1 has ended, if the job is resubmitted to an entry that agent 1 has not told of the
+ * start in doubt. That needs a start in doubt and two failures before the start is executed: entry 1
+ * ends, and agent 1 ends, is suspended, or reaches the other entry with no message between the stop of
+ * the run and the resubmission. The successor of agent 1 does not know of the start. With the macro
+ * LATE_CALLS_AFTER_DOUBLE_FAILURE, which removes the assumption, the specification violates an
+ * assertion.
  *
  * Stamps and echoes: each message of agent 1 contains a stamp, the time of its clock. The entry
  * echoes the newest one that it has received.
@@ -78,7 +87,11 @@
 byte orderAge; /* age of the stamp that it echoes */
 bool settledReported; /* the newest report that the entry has: no start of the task is in doubt */
 bool endReported; /* the entry has learned that the run has ended */
-bool taskRepeated; /* entry 1 or another entry has started the task on target 2 */
+bool endBound; /* and that a start of the task may still be executed on target 1 */
+bool otherTold; /* the other entry knows that a start of the task is in doubt */
+bool untold; /* the other entry has started the task and had not been told */
+bool taskRepeated; /* entry 1 or another entry has started the task again, or ordered its start */
+bool boundOrder; /* the agent at target 1 has the order of the bound task, or will receive it */
 
 bool runHeld; /* agent 1 has the run in its table as started, and the run may execute */
 bool stopDue; /* the run may not execute any longer, and agent 1 has no proof that it has ended */
@@ -87,7 +100,9 @@
 byte grantedLeft; /* steps until all leases that agent 1 has granted to the run have expired */
 bool startInDoubt; /* as agent 1 knows, a start call of the task may still be executed */
 bool runEnded; /* agent 1 knows that the run has ended, and reports it to the entry */
+bool endInDoubt; /* a start of the task was in doubt when the run ended */
 bool callPending; /* the start call has no reply and has not been executed yet */
+bool lateAfterLoss; /* a later lifetime has executed such a call after entry 1 has ended */
 byte callFence; /* fence in the start call */
 byte callLeaseLeft; /* steps until the lease end in the start call */
 byte targetFence; /* highest fence that target 1 has received */
@@ -126,6 +141,10 @@
         assert(!executing1); /* no start while a run of the task executes on the target */
         executing1 = true;
         leaseLeft = startLeaseLeft;
+        if
+        :: targetPhase == RESTARTED && !entryAlive -> lateAfterLoss = true;
+        :: else -> skip;
+        fi;
     :: else -> skip;
     fi
 }
@@ -136,6 +155,40 @@
     assert(!executing1);
 }
 
+inline orderBound() {
+    taskRepeated = true;
+    boundOrder = true;
+}
+
+/* The entry repeats the run after its end. */
+inline repeatEnded() {
+    if
+    :: endBound -> orderBound();
+    :: else -> startOnTarget2();
+    fi
+}
+
+/* Another entry, which has received the job again, starts its task. */
+inline startResubmitted() {
+    /* Agent 1, unless it has ended, knows of the start, and so could have told the entry. */
+    assert(!callPending || !agentAlive || successor || startInDoubt);
+    if
+#ifndef MUTANT_UNBOUND_RESUBMIT /* mutant: the entry ignores what agent 1 has told it */
+    :: otherTold -> orderBound();
+#else
+    :: otherTold -> startOnTarget2();
+#endif
+#ifndef LATE_CALLS_AFTER_DOUBLE_FAILURE
+    :: !otherTold && !lateAfterLoss ->
+        startOnTarget2();
+        untold = true;
+    :: !otherTold && lateAfterLoss -> skip; /* excluded by assumption */
+#else
+    :: !otherTold -> startOnTarget2();
+#endif
+    fi
+}
+
 inline passTime() {
     increaseAge(echoAge, ENTRY_LEASE + TARGET_LEASE - 1);
     increaseAge(stampAge, RUN_LOSS_TIMEOUT);
@@ -178,7 +231,7 @@
         orderSent = true;
         orderQueued = true;
         orderAge = stampAge;
-    :: entryAlive && !taskRepeated && endReported -> startOnTarget2();
+    :: entryAlive && !taskRepeated && endReported -> repeatEnded();
     :: entryAlive && !taskRepeated && agentSilence >= RUN_LOSS_TIMEOUT && settledReported ->
         startOnTarget2();
 #ifdef MUTANT_REPEAT_UNSETTLED /* the entry repeats the run whatever the newest report says */
@@ -189,7 +242,7 @@
     :: entryAlive && orderSent && !taskRepeated && agentSilence >= ENTRY_LEASE -> startOnTarget2();
 #endif
     :: !entryAlive && orderSent && !taskRepeated && sinceEntryLost >= RESUBMIT_DELAY ->
-        startOnTarget2();
+        startResubmitted();
     :: entryAlive && !heartbeatQueued -> /* a queued heartbeat is delivered later or never */
         heartbeatQueued = true;
         heartbeatAge = stampAge;
@@ -263,9 +316,19 @@
         stampAge = 0;
         settledReported = (runHeld || stopDue) && !startInDoubt;
         endReported = runEnded;
+#ifndef MUTANT_UNBOUND_END /* mutant: an end with a start in doubt does not bind the task */
+        endBound = endInDoubt;
+#endif
     :: entryAlive && agentAlive && !agentFrozen && successor && cleared && orderSent ->
+#ifndef MUTANT_UNBOUND_AFTER_SUCCESSOR /* mutant: a cleared lifetime does not bind the task */
+        endBound = endBound || (!endReported && !settledReported);
+#endif
         endReported = true;
     :: skip;
+    fi;
+    if /* another entry receives what agent 1 tells of a run that is stopped or has ended */
+    :: agentAlive && !agentFrozen && startInDoubt && !runHeld && !taskRepeated -> otherTold = true;
+    :: skip;
     fi
 }
 
@@ -295,54 +358,53 @@
     newLease = 0;
 }
 
-/* Target 1 ends or begins its new lifetime. */
+/* Target 1 ends or begins a new lifetime. */
 inline targetRestarts() {
     if
-    :: targetPhase == FIRST_LIFETIME ->
+    :: targetPhase == FIRST_LIFETIME || (targetPhase == NEXT_LIFETIME && callPending) ->
         targetPhase = DOWN;
         executing1 = false;
         listLeaseLeft = 0; /* see executeEarlierList */
     :: targetPhase == DOWN && downTime >= RESTART ->
         targetPhase = RESTARTED;
         targetFence = 0;
-#ifndef LATE_CALLS_AFTER_SUCCESSOR
-        if
-        :: successor && (endReported || taskRepeated) -> callPending = false;
-        :: else -> skip;
-        fi;
-#endif
         if
         :: successor -> cleared = false;
         :: else -> skip;
         fi;
     :: skip;
     fi;
-#ifndef LATE_CALLS_AFTER_ENTRY_LOSS
     if
-    :: targetPhase != FIRST_LIFETIME && !entryAlive -> callPending = false;
+    :: untold && targetPhase != FIRST_LIFETIME -> callPending = false; /* by assumption */
     :: else -> skip;
     fi
-#endif
 }
 
 /* The new lifetime of target 1 executes a list call that was sent to its predecessor, or whose agent
  * does not know the new lifetime yet. Such a call may be on its way at any time. */
 inline executeEarlierList() {
     if
-#ifndef LATE_CALLS_AFTER_ENTRY_LOSS
-    :: targetPhase == RESTARTED && executing1 && entryAlive -> leaseLeft = MAX_LEASE;
-#else
-    :: targetPhase == RESTARTED && executing1 -> leaseLeft = MAX_LEASE;
-#endif
+    :: targetPhase == RESTARTED && executing1 && !untold ->
+        leaseLeft = MAX_LEASE;
+        lateAfterLoss = lateAfterLoss || !entryAlive;
     :: skip;
     fi
 }
 
-/* The run has ended in the current lifetime. No end is reported while a start is in doubt. */
+/* The run has ended in the current lifetime. */
 inline endRun() {
     runHeld = false;
     stopDue = false;
-    runEnded = !startInDoubt;
+    runEnded = true;
+    endInDoubt = endInDoubt || startInDoubt;
+}
+
+inline raiseFence() {
+    if
+    :: agentFence < 4 -> agentFence++; /* only the first start call has no reply, and its fence is 1 */
+    :: else -> skip;
+    fi;
+    targetFence = agentFence;
 }
 
 /* A raised fence has voided the start call in the current lifetime. */
@@ -354,34 +416,50 @@
 #endif
 }
 
-/* The new lifetime has answered the first agent under a raised fence, which refuses all starts from
- * before. A run that is listed is continued, or stopped when it may not execute. The agent extends no
- * lease while the lifetime executes a run that it has not in its table. */
+/* A listing shows the run. A voided start remains in doubt. */
+inline startListed() {
+    if
+    :: !runRestarted -> startInDoubt = false;
+    :: else -> startVoided();
+    fi
+}
+
+/* A new lifetime has answered the first agent under a raised fence, which refuses all starts from
+ * before; a later lifetime may still execute them. A run that is listed is continued, or stopped when
+ * it may not execute. The agent extends no lease while the lifetime executes a run that it has not in
+ * its table. */
 inline nextLifetimeAnswers() {
-    agentFence++;
-    targetFence = agentFence;
+    raiseFence();
     targetPhase = NEXT_LIFETIME;
     if
-    :: executing1 ->
-        grant(MAX_LEASE);
-        if
-        :: !runHeld && !stopDue -> stopDue = true; stopAge = TARGET_LEASE;
-        :: else -> skip;
-        fi;
+    :: executing1 && (runHeld || stopDue) -> grant(MAX_LEASE); startListed();
+    :: executing1 && !runHeld && !stopDue -> stopDue = true; stopAge = TARGET_LEASE;
+    :: !executing1 && (runHeld || stopDue) ->
+#ifdef MUTANT_FORGET_DOUBT_AT_RESTART /* mutant: the answer of a new lifetime settles the start */
         startInDoubt = false;
-    :: !executing1 && (runHeld || stopDue || startInDoubt) -> startInDoubt = false; endRun();
+#endif
+        endRun();
     :: else -> skip;
     fi
 }
 
+/* The agent at target 1 starts the bound task. The run is not followed any further. */
+inline startBound() {
+    boundOrder = false;
+    executeStart(agentFence, TARGET_LEASE);
+    assert(!callPending || callFence < targetFence); /* no earlier call is executed beside it */
+    callPending = false;
+    executing1 = false;
+    targetPhase = NEXT_LIFETIME;
+}
+
 inline agentActs() {
     if
     :: agentAlive && !agentFrozen && cleared && runHeld && startInDoubt && !runRestarted &&
             targetPhase == FIRST_LIFETIME ->
         /* Voids the start call without a reply, and starts the task again unless it executes. */
 #ifndef MUTANT_NO_FENCE /* mutant: the first start call stays valid */
-        agentFence++;
-        targetFence = agentFence;
+        raiseFence();
 #endif
         if
         :: executing1 -> startInDoubt = false;
@@ -392,8 +470,7 @@
             executeStart(agentFence, TARGET_LEASE);
         fi;
     :: agentAlive && !agentFrozen && !cleared && targetPhase != DOWN ->
-        /* A successor stops the runs it does not know. 5 is above every fence of the first agent:
-         * it starts at 1 and rises at most three times. */
+        /* A successor stops the runs it does not know. 5 is above every fence of the first agent. */
         agentFence = 5;
         targetFence = 5;
         executing1 = false;
@@ -408,14 +485,30 @@
             (targetPhase == FIRST_LIFETIME || targetPhase == NEXT_LIFETIME) ->
         /* The stop is executed, the raised fence voids the start call, and the agent knows both.
          * While this step is not taken, the calls are lost. */
-        agentFence++;
-        targetFence = agentFence;
+        raiseFence();
         if
-        :: executing1 && !runRestarted -> startInDoubt = false;
+        :: executing1 -> startListed();
         :: else -> startVoided();
         fi;
         executing1 = false;
         endRun();
+    :: agentAlive && !agentFrozen && cleared && runHeld && executing1 &&
+            (targetPhase == FIRST_LIFETIME || targetPhase == NEXT_LIFETIME) ->
+        executing1 = false; /* the run has failed, and a listing shows its end */
+        startListed();
+        endRun();
+    :: agentAlive && !agentFrozen && cleared && boundOrder && !runHeld && !stopDue &&
+            (targetPhase == FIRST_LIFETIME || targetPhase == NEXT_LIFETIME) ->
+        startBound();
+#ifdef MUTANT_BOUND_BESIDE_RUN /* the bound task starts while a stop of its earlier run is due */
+    :: agentAlive && !agentFrozen && cleared && boundOrder && targetPhase == FIRST_LIFETIME ->
+        startBound();
+#endif
+#ifdef MUTANT_BOUND_UNCALLED /* the bound task starts in a lifetime that has not been called before */
+    :: agentAlive && !agentFrozen && boundOrder && !runHeld && !stopDue &&
+            targetPhase == RESTARTED ->
+        startBound();
+#endif
     :: agentAlive && !agentFrozen && cleared && (runHeld || stopDue) && !startInDoubt &&
             targetPhase == FIRST_LIFETIME && !executing1 ->
         endRun(); /* a listing does not show the run */
@@ -445,6 +538,7 @@
         stopDue = false;
         startInDoubt = false;
         runEnded = false;
+        endInDoubt = false;
     :: !agentAlive -> agentAlive = true; agentFrozen = false; successor = true; cleared = false;
     :: skip;
     fi;
@@ -514,11 +608,21 @@
         agentSilence = 0;
         settledReported = false;
         endReported = false;
+        endBound = false;
         runEnded = false;
+        endInDoubt = false;
         grantedLeft = 0;
     :: else -> skip;
     fi;
     if
+    :: taskRepeated -> otherTold = false;
+    :: else -> skip;
+    fi;
+    if
+    :: !executing1 || taskRepeated -> lateAfterLoss = false;
+    :: else -> skip;
+    fi;
+    if
     :: orderSent && !orderQueued && !runHeld -> /* no run of the entry is left at agent 1 */
         echoAge = 0;
         heartbeatQueued = false;
@@ -535,6 +639,10 @@
         targetPhase = NEXT_LIFETIME;
         downTime = 0;
         taskRepeated = true;
+        boundOrder = false;
+        untold = false;
+        otherTold = false;
+        lateAfterLoss = false;
         executing2 = true;
         entryAlive = false;
         sinceEntryLost = 0;
@@ -555,9 +663,11 @@
         grantedLeft = 0;
         startInDoubt = false;
         runEnded = false;
+        endInDoubt = false;
         runRestarted = false;
         settledReported = false;
         endReported = false;
+        endBound = false;
         listLeaseLeft = 0;
     :: else -> skip;
     fi
@@ -570,8 +680,10 @@
         targetRestarts();
         messagesArrive();
         agentActs();
-        passTime();
-        resetUnused();
+        d_step { /* has no choices, and so is explored faster */
+            passTime();
+            resetUnused();
+        }
     }
     od
 }
