Keep the fences of successive agents apart

An agent began with the Unix time in milliseconds as its fence, and raised it by 1 for each start without an answer. When the clock was set back before its successor started, the successor's fence was refused and raised by 1,000, and could end at or below a fence under which a start of the first agent was still on its way. The target had not seen that fence, so it accepted the start after the successor had cleared the target, while the entry repeated the task elsewhere: two runs at the same time.

A fence now has a generation, the Unix time, and 1,024 fences in each. Raises stay within a generation. After a refusal the successor ends in a generation that is at least that of the refused fence, and goes on to the next one as soon as the target has accepted it, so its fences are above all of its predecessor's.

Ruled out: the same without a refusal, since the clock then has to be set back to the very millisecond in which the predecessor started.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -60,9 +60,9 @@
 {
     process_identity self;
     std::vector<std::string> contacts; ///< endpoints of processes that can list the entries
-    /// Initial fencing token for calls to the target; higher than those of the target's earlier
-    /// agents.
-    std::uint64_t initialFence = 1;
+    /// Generation of the fencing tokens in calls to the target; higher than those of the target's
+    /// earlier agents.
+    std::uint64_t fenceGeneration = 1;
     dispatch_agent_limits limits;
     target_session_limits target;
 };
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -98,9 +98,11 @@
 class target_session
 {
 public:
-    /// @param initialFence Should be higher than the fences of earlier agents of this target. If it
-    ///        is not, the session raises it when the target refuses a call.
-    target_session(const clock &clock, std::uint64_t initialFence,
+    /// @param fenceGeneration Generation of the first fence, up to 2^43. The fences of a generation
+    ///        are higher than those of lower ones. It should be higher than the generations of
+    ///        earlier agents of this target. If it is not, the session raises it when the target
+    ///        refuses a call.
+    target_session(const clock &clock, std::uint64_t fenceGeneration,
                    target_session_limits limits = {});
 
     // Target
@@ -280,6 +282,8 @@
     /// Raises the fence above one that the target has refused, unless that was done before.
     /// @return Whether the fence was raised.
     bool passRefusedFence(const pending_call &call);
+    /// Raises the fence to the first one of a generation that is higher by `step`.
+    void beginGeneration(std::uint64_t step);
     void handleStartReply(const pending_call &call, const target_reply &reply);
     void handleListReply(const pending_call &call, const target_reply &reply);
     void handleOtherLifetime(const run_listing &listing);
@@ -329,10 +333,12 @@
     bool m_shutdownAnnounced = false;       ///< the target has announced its shutdown
     bool m_cleared = false;
     std::uint64_t m_fence;
-    std::uint64_t m_fenceStep = 0; ///< last increase after a refusal; doubles with each one
-    bool m_fenceRaiseDue = false;  ///< a start without a reply has to be invalidated
-    time_point m_nextFenceRaise;   ///< earliest time of the next raise after a failed list call
-    std::uint64_t m_endsSeen = 0;  ///< number of the newest end received in this lifetime
+    std::uint64_t m_generationStep = 0; ///< last increase after a refusal; doubles with each one
+    /// Whether a call was refused since the generation was last known to be this agent's alone.
+    bool m_generationShared = false;
+    bool m_fenceRaiseDue = false; ///< a start without a reply has to be invalidated
+    time_point m_nextFenceRaise;  ///< earliest time of the next raise after a failed list call
+    std::uint64_t m_endsSeen = 0; ///< number of the newest end received in this lifetime
     std::uint64_t m_lastCall = 0;
     std::map<call_id, pending_call> m_pending;
     std::map<run_ref, session_run> m_runs;
--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -11,14 +11,14 @@
 
 namespace http = boost::beast::http;
 
-/// Initial fence of an agent. A fence is a fencing token, which target_session adds to each call.
-/// The target rejects calls whose fence is lower than the highest that it has received, so that
-/// calls of an earlier run of the agent have no effect.
+/// Generation of the fences of an agent. A fence is a fencing token, which target_session adds to
+/// each call. The target rejects calls whose fence is lower than the highest that it has received,
+/// so that calls of an earlier run of the agent have no effect.
 ///
-/// The initial fence is set to the wall-clock time in milliseconds since the epoch, which increases
-/// across restarts of the agent even on a machine without a disk. If the clock was set back, the
-/// target rejects the fence and the session raises it.
-std::uint64_t initialFence()
+/// The generation is the wall-clock time in milliseconds since the epoch, which increases across
+/// restarts of the agent even on a machine without a disk. If the clock was set back, the target
+/// rejects the fence and the session raises it.
+std::uint64_t fenceGeneration()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(
@@ -92,7 +92,7 @@
     options.self = {incarnation_id{randomNumber()}, settings.endpoint, wire::ROLE_AGENT,
                     settings.zone};
     options.contacts = contactEndpoints(settings);
-    options.initialFence = initialFence();
+    options.fenceGeneration = fenceGeneration();
     dispatch_agent core{options, clock};
     dispatch_loop<dispatch_agent> loop{settings, settingsFile, clock, core, {}};
     target_interface target{loop, core, settings.dispatch};
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -26,7 +26,7 @@
 dispatch_agent::dispatch_agent(dispatch_agent_options options, const clock &clock)
     : m_options{std::move(options)}
     , m_member{m_options.self, clock}
-    , m_session{clock, m_options.initialFence, m_options.target}
+    , m_session{clock, m_options.fenceGeneration, m_options.target}
 {
     m_member.addContacts(m_options.contacts);
 }
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -18,10 +18,13 @@
 constexpr std::array<std::string_view, 5> outcomeNames{"done", "failed", "stopped", "lost",
                                                        "not_started"};
 
-/// First increase of the fence after a refusal; it doubles with each further refusal. Agents begin
-/// with a fence that is the Unix time in milliseconds, so one increase suffices when the clock of
-/// the previous agent was up to one second ahead.
-constexpr std::uint64_t initialFenceStep = 1'000;
+/// Fences of one generation. Without a refusal a session only raises its fence by 1, at most every
+/// few milliseconds, so the fences of a generation last longer than one agent is away.
+constexpr std::uint64_t fencesPerGeneration = 1'024;
+/// First increase of the generation after a refusal; it doubles with each further refusal. Agents
+/// begin with a generation that is the Unix time in milliseconds, so one increase suffices when the
+/// clock of the previous agent was up to one second ahead.
+constexpr std::uint64_t initialGenerationStep = 1'000;
 /// Delay from a failed list call to the next one and to the next raise of the fence. Also the delay
 /// from a list call that is not a long poll to the next one while no reply has arrived.
 constexpr duration retryDelay = 50ms;
@@ -75,11 +78,11 @@
     return endNames[static_cast<std::size_t>(kind)];
 }
 
-target_session::target_session(const clock &clock, std::uint64_t initialFence,
+target_session::target_session(const clock &clock, std::uint64_t fenceGeneration,
                                target_session_limits limits)
     : m_clock{clock}
     , m_limits{limits}
-    , m_fence{initialFence}
+    , m_fence{fenceGeneration * fencesPerGeneration}
 {}
 
 bool target_session::handleReport(const target_report &report)
@@ -486,11 +489,17 @@
     if (call.fence != m_fence) {
         return false;
     }
-    m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
-    m_fence += m_fenceStep;
+    m_generationStep = std::max(initialGenerationStep, m_generationStep * 2);
+    beginGeneration(m_generationStep);
+    m_generationShared = true;
     return true;
 }
 
+void target_session::beginGeneration(std::uint64_t step)
+{
+    m_fence = (m_fence / fencesPerGeneration + step) * fencesPerGeneration;
+}
+
 void target_session::tick()
 {
     if (!m_target) {
@@ -685,6 +694,13 @@
             handleOtherLifetime(*reply.listing);
             return;
         }
+        // The accepted fence may be of the generation in which the previous agent has raised its
+        // fence, and some of its calls may be on their way with fences that the target has not
+        // seen.
+        if (m_generationShared && call.fence == m_fence) {
+            m_generationShared = false;
+            beginGeneration(1);
+        }
         if (m_listFailures >= maxListFailures) {
             log("target_answers_again", {{"target", m_target->lifetime.id}});
         }
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -123,7 +123,7 @@
         made.self = self;
         made.contacts = contacts;
         // Never lower than the initial fence of an earlier agent, but may be equal to it.
-        made.initialFence = m_lastFence += random(50);
+        made.fenceGeneration = m_lastFence += random(50);
         made.limits = m_options.agentLimits;
         made.target = m_options.targetLimits;
         subject.agent = std::make_unique<dispatch_agent>(made, m_clock);
--- a/tests/target_session_test.cpp
+++ b/tests/target_session_test.cpp
@@ -229,6 +229,41 @@
     CHECK(fixture.target.running().empty());
 }
 
+// Guards against a start of the previous agent that executes after its successor has cleared the
+// target: the target had not seen the fence of that start yet, so its refusals do not show it.
+TEST_CASE("a start on its way is void once a successor whose clock was set back has cleared the "
+          "target")
+{
+    session_fixture fixture{5'000};
+    fixture.pass(50ms);
+    REQUIRE(fixture.session.ready());
+    fixture.loseStarts = true;
+    fixture.silent = true; // the target receives no call under a fence that these losses raise
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        fixture.session.start(refOf(index), "spec", demand);
+        fixture.pass(60ms);
+    }
+    REQUIRE(fixture.lostCalls.size() == 3);
+
+    for (std::uint64_t behind = 990; behind <= 1'010; ++behind) {
+        auto restarted = fixture.target;
+        target_session successor{fixture.time, 5'000 - behind};
+        successor.handleReport(restarted.report(fixture.time.now()));
+        for (int round = 0; round < 10 && !successor.cleared(); ++round) {
+            successor.confirmRightsUntil(fixture.time.now());
+            successor.tick();
+            for (const auto &call : successor.takeCalls()) {
+                successor.handle(restarted.call(call, fixture.time.now()));
+            }
+        }
+        REQUIRE(successor.cleared());
+        for (const auto &call : fixture.lostCalls) {
+            CAPTURE(behind);
+            CHECK(restarted.call(call, fixture.time.now()).refusal == call_refusal::fenced);
+        }
+    }
+}
+
 TEST_CASE("runs are reported as lost only after their lease has certainly expired")
 {
     session_fixture fixture;
