Tell entries which starts of a task are in doubt

A run can end as failed, stopped, lapsed, refused or lost while a later lifetime of its target may still execute a start of the task that had no answer or was voided by a fence. The entry knew nothing of it and started the task on another target. The same happened when the entry failed, or answered its caller at the time limit, and the caller submitted its job to another entry.

The session now keeps, with the id of the target, each start in doubt until the call is no longer expected. The end of a run names it, and when a run ends or is to be stopped while one exists, the agent reports the task to all entries until they have acknowledged it. A new target id ends the doubt, since the target refuses calls for another id; an end that a listing contains proves that the start was executed.

Evidence: without the mechanism the tests of the ends (all four outcomes), of the reports to other entries and of their limit fail. Ruled out: withholding the end for 60 s, which keeps its job waiting although the same target could run the task again.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -142,6 +142,7 @@
         time_point lastReport;         ///< time of the newest report of any kind
         std::uint64_t reportedCpu = 0; ///< CPU demand of the running tasks in the newest report
         std::uint64_t crashesSeen = 0; ///< highest number of a crash that the entry has received
+        std::uint64_t doubtsSeen = 0;  ///< the same of the tasks with a start in doubt
     };
 
     /// Priority and arrival number of a queued run. Runs with lower keys start first.
@@ -171,6 +172,16 @@
         time_point known;        ///< when the crash became known
     };
 
+    /// A task whose run is to end, or has ended other than as done, while a start of it is in
+    /// doubt.
+    struct doubt_record
+    {
+        batch_task task;
+        std::string target;       ///< id of the target that may execute the start
+        time_point until;         ///< end of the doubt
+        std::uint64_t number = 0; ///< numbers the records from 1
+    };
+
     void handleOrdersMessage(incarnation_id sender, const wire::DispatchOrders &message,
                              const receive_result &received);
     void handleOrders(incarnation_id entry, const wire::DispatchOrders &message, bool fresh);
@@ -200,6 +211,11 @@
     void stopRunsOfSilentEntriesAndExpiredRuns();
     void takeSessionResults();
     void recordCrash(const std::vector<batch_task> &tasks);
+    /// Reports the start of the task that is in doubt, if any, to all entries: the caller may
+    /// submit its job to any of them.
+    void recordDoubt(const batch_task &task);
+    /// Adds the start of the task that is in doubt, if any, to its end.
+    void addDoubt(const batch_task &task, wire::RunEnd &end) const;
     [[nodiscard]] bool suspectRunning() const;
     void handleRunEnd(const run_outcome &end);
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
@@ -229,6 +245,8 @@
     dispatch_agent_counters m_counters;
     std::vector<duration> m_runTimes;
     std::deque<crash_record> m_crashed; ///< oldest first
+    std::deque<doubt_record> m_doubts;  ///< oldest first
+    std::uint64_t m_lastDoubt = 0;      ///< number of the newest doubt_record
     bool m_lastLoggedReady = false;
     std::optional<time_point> m_stopSince; ///< start of the graceful shutdown, if any
     bool m_shutdownReported = false;
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -157,6 +157,9 @@
     /// @brief Whether the target executes the run and no start call of its task can be executed any
     ///        more, also by a later lifetime of the target. False for an unknown run.
     [[nodiscard]] bool startSettled(const run_ref &ref) const;
+    /// @brief Time for which a start call of the task that had no answer, or was voided by a fence,
+    ///        may still be executed by a later lifetime of the current target; 0: there is none.
+    [[nodiscard]] duration startDoubt(const batch_task &task) const;
     /// @brief Resources that are reserved for the runs of the session.
     [[nodiscard]] const resources &committed() const noexcept { return m_committed; }
     /// @brief Number of runs in the session, whether confirmed by the target or not.
@@ -208,6 +211,7 @@
         resources demand;
         run_state state = run_state::starting;
         std::uint64_t startFence = 0; ///< fence of the start call
+        std::string target;           ///< id of the target that was called
         time_point started;           ///< when the start call was made
         /// When the target confirmed that the run is executing; until then, when the start call was
         /// made.
@@ -223,6 +227,12 @@
         withheld_outcome withheld{}; ///< for run_state::withheld
     };
 
+    struct voided_start
+    {
+        std::string target; ///< id of the target that was called
+        time_point made;
+    };
+
     /// A run on the target that is not in the table.
     struct foreign_run
     {
@@ -299,7 +309,7 @@
     /// Whether the target is executing a foreign run of the task.
     [[nodiscard]] bool foreignRunOf(const batch_task &task) const;
     /// Whether a start call of the run's task may be executed by a later lifetime of the target.
-    [[nodiscard]] bool startInDoubt(const run_ref &ref, const session_run &run) const;
+    [[nodiscard]] bool startInDoubt(const run_ref &ref) const;
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
              start_refusal refusal = start_refusal::none, bool crashPossible = false);
@@ -346,9 +356,8 @@
     std::map<run_ref, foreign_run> m_foreignRuns;
     /// Times at which runs have ended recently. A delayed listing may still show these runs.
     std::map<run_ref, time_point> m_recentlyEnded;
-    /// When the newest start call of each task was made that had no answer and was voided by a
-    /// fence.
-    std::map<batch_task, time_point> m_voidedStarts;
+    /// Newest start call of each task that had no answer and was voided by a fence.
+    std::map<batch_task, voided_start> m_voidedStarts;
     resources m_committed;
     std::optional<std::int64_t> m_clockSample; ///< reading of the target's clock, in milliseconds
     time_point m_clockSampleTime;              ///< when `m_clockSample` was received
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -20,6 +20,9 @@
 /// Time for which the crashes of the target are reported to entries; as long as entries keep them.
 constexpr duration crashRetention = std::chrono::seconds{60};
 constexpr std::size_t maxCrashRecords = 64;
+/// Tasks with a start in doubt that are reported to entries; limits their part of a report to 10
+/// KB.
+constexpr std::size_t maxDoubtRecords = 256;
 
 } // namespace
 
@@ -56,6 +59,7 @@
         forgetOrderNumbers(sender, entry);
     }
     entry.crashesSeen = message.crashes_seen();
+    entry.doubtsSeen = message.doubts_seen();
     const auto acked = message.peer_epoch() == entry.epoch ? message.ends_seen() : 0;
     while (!entry.unacked.empty() && entry.unacked.front().number() <= acked) {
         entry.unacked.pop_front();
@@ -241,6 +245,7 @@
         endRun(ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, {});
     } else {
         m_session.stop(ref, due);
+        recordDoubt(ref.task); // the end may become known only when the target answers again
     }
 }
 
@@ -360,6 +365,37 @@
     }
 }
 
+void dispatch_agent::recordDoubt(const batch_task &task)
+{
+    const auto left = m_session.startDoubt(task);
+    if (left == duration{}) {
+        return;
+    }
+    std::erase_if(m_doubts, [&](const auto &record) { return record.task == task; });
+    const auto &target = m_session.target()->lifetime.id;
+    m_doubts.push_back({task, target, m_member.now() + left, ++m_lastDoubt});
+    m_member.log("task_in_doubt", {{"job", toText(task.job)},
+                                   {"step", std::to_string(task.step)},
+                                   {"index", std::to_string(task.index)},
+                                   {"target", target},
+                                   {"remaining_ms", std::to_string(toMilliseconds(left))}});
+    if (m_doubts.size() > maxDoubtRecords) {
+        m_member.log("doubt_dropped", {{"job", toText(m_doubts.front().task.job)}});
+        m_doubts.pop_front();
+    }
+    for (auto &[incarnation, entry] : m_entries) {
+        entry.lastFullReport = {};
+    }
+}
+
+void dispatch_agent::addDoubt(const batch_task &task, wire::RunEnd &end) const
+{
+    if (const auto left = m_session.startDoubt(task); left > duration{}) {
+        end.mutable_start_in_doubt()->set_target(m_session.target()->lifetime.id);
+        end.mutable_start_in_doubt()->set_remaining_ms(toMilliseconds(left));
+    }
+}
+
 bool dispatch_agent::suspectRunning() const
 {
     return std::ranges::any_of(
@@ -427,6 +463,10 @@
     end.set_run_ms(toMilliseconds(runTime));
     end.set_crash_possible(crashPossible);
     end.set_order(order);
+    if (outcome != wire::RUN_OUTCOME_DONE) {
+        addDoubt(ref.task, end);
+        recordDoubt(ref.task);
+    }
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
@@ -500,6 +540,7 @@
     while (!m_crashed.empty() && m_member.now() - m_crashed.front().known >= crashRetention) {
         m_crashed.pop_front();
     }
+    std::erase_if(m_doubts, [&](const auto &record) { return record.until <= m_member.now(); });
     if (m_session.ready() != m_lastLoggedReady) {
         m_lastLoggedReady = m_session.ready();
         m_member.log("target_ready", {{"ready", m_lastLoggedReady ? "true" : "false"}});
@@ -633,6 +674,18 @@
                 crashed.set_crash(record.crash);
             }
         }
+        for (const auto &record : m_doubts) {
+            if (record.number > state.doubtsSeen) {
+                auto &added = *report.add_in_doubt();
+                added.set_job(static_cast<std::uint64_t>(record.task.job));
+                added.set_step(record.task.step);
+                added.set_index(record.task.index);
+                added.mutable_start()->set_target(record.target);
+                added.mutable_start()->set_remaining_ms(
+                        toMilliseconds(std::max(duration{}, record.until - m_member.now())));
+                added.set_number(record.number);
+            }
+        }
     }
     state.lastReport = m_member.now();
     state.reportedCpu = m_session.committed().cpuMillis;
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -349,6 +349,7 @@
     session_run run;
     run.demand = demand;
     run.startFence = m_fence;
+    run.target = m_target->lifetime.id;
     run.started = now;
     run.confirmed = now;
     run.suspect = suspect;
@@ -547,21 +548,35 @@
     }
 }
 
-bool target_session::startInDoubt(const run_ref &ref, const session_run &run) const
+bool target_session::startInDoubt(const run_ref &ref) const
 {
-    const auto mayBeExecuted = [&](time_point made) {
-        return m_clock.now() - made <= m_limits.maxStartDelay;
+    return startDoubt(ref.task) > duration{};
+}
+
+duration target_session::startDoubt(const batch_task &task) const
+{
+    std::optional<time_point> newest;
+    const auto add = [&](const std::string &target, time_point made) {
+        if (target == m_target->lifetime.id) { // under another id the call is refused
+            newest = std::max(newest.value_or(made), made);
+        }
     };
-    const auto voided = m_voidedStarts.find(ref.task);
-    return (!run.startAnswered && mayBeExecuted(run.started)) ||
-           (voided != m_voidedStarts.end() && mayBeExecuted(voided->second));
+    if (const auto voided = m_voidedStarts.find(task); voided != m_voidedStarts.end()) {
+        add(voided->second.target, voided->second.made);
+    }
+    if (const auto *const ref = firstRunOf(m_runs, task); ref != nullptr) {
+        if (const auto &run = m_runs.at(*ref); !run.startAnswered) {
+            add(run.target, run.started);
+        }
+    }
+    return newest ? std::max(duration{}, *newest + m_limits.maxStartDelay - m_clock.now())
+                  : duration{};
 }
 
 bool target_session::startSettled(const run_ref &ref) const
 {
     const auto found = m_runs.find(ref);
-    return found != m_runs.end() && found->second.state == run_state::running &&
-           !startInDoubt(ref, found->second);
+    return found != m_runs.end() && found->second.state == run_state::running && !startInDoubt(ref);
 }
 
 void target_session::markExpiredRunsLost()
@@ -575,7 +590,7 @@
     m_foreignRuns.clear(); // their lease has expired as well
     std::vector<run_ref> expired;
     for (auto &[ref, run] : m_runs) {
-        if (!startInDoubt(ref, run)) {
+        if (!startInDoubt(ref)) {
             expired.push_back(ref);
         } else if (!std::exchange(run.doubtLogged, true)) {
             log("start_in_doubt",
@@ -665,7 +680,7 @@
         end(call.ref, run_outcome::kind::not_started, start_refusal::malformed);
         break;
     case call_status::unreachable:
-        if (startInDoubt(call.ref, run)) { // the target may have crashed, see m_voidedStarts
+        if (startInDoubt(call.ref)) { // the target may have crashed, see m_voidedStarts
             run.state = run_state::unresolved;
             m_fenceRaiseDue = true;
             break;
@@ -785,6 +800,9 @@
             continue;
         }
         m_endsSeen = listed.number;
+        if (const auto run = m_runs.find(listed.ref); run != m_runs.end()) {
+            run->second.startAnswered = true; // its end shows that the call was executed
+        }
         switch (listed.kind) {
         case run_end_kind::done:
             end(listed.ref, run_outcome::kind::done);
@@ -846,7 +864,7 @@
         }
         const auto &run = m_runs.at(ref);
         if (!run.startAnswered) {
-            m_voidedStarts[ref.task] = run.started;
+            m_voidedStarts[ref.task] = {run.target, run.started};
         }
         const bool crashPossible = !notStarted && run.fromEarlierLifetime;
         end(ref, result, notStarted ? start_refusal::retry : start_refusal::none, crashPossible);
@@ -902,8 +920,9 @@
     }
     std::erase_if(m_recentlyEnded,
                   [&](const auto &ended) { return now - ended.second >= staleListingLimit; });
-    std::erase_if(m_voidedStarts,
-                  [&](const auto &start) { return now - start.second > m_limits.maxStartDelay; });
+    std::erase_if(m_voidedStarts, [&](const auto &start) {
+        return now - start.second.made > m_limits.maxStartDelay;
+    });
 }
 
 void target_session::end(const run_ref &ref, run_outcome::kind result, start_refusal refusal,
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -70,6 +70,7 @@
         auto &orders = *envelope.mutable_dispatch_orders();
         orders.set_epoch(epoch);
         orders.set_crashes_seen(crashesSeen[entry]);
+        orders.set_doubts_seen(doubtsSeen[entry]);
         return envelope;
     }
 
@@ -142,6 +143,15 @@
         return target.call(call, time.now());
     }
 
+    /// Orders the run `index` and loses its first start call, which the next fence voids.
+    void orderWithVoidedStart(std::uint32_t index)
+    {
+        loseStarts = true;
+        order(index, {1'000, 64, 0});
+        loseStarts = false;
+        pass(100ms);
+    }
+
     /// Makes the agent's next list call, and executes it after the agent has been frozen for
     /// `length`.
     target_reply freezeDuringList(duration length)
@@ -195,6 +205,9 @@
         for (const auto &crashed : report.crashed()) {
             crashes[incarnation_id{envelope.receiver()}].push_back(crashed.index());
         }
+        for (const auto &task : report.in_doubt()) {
+            doubts[incarnation_id{envelope.receiver()}].push_back(task);
+        }
     }
 
     [[nodiscard]] bool refusedForRoom(std::uint32_t index) const
@@ -213,6 +226,7 @@
     std::map<std::uint32_t, resources> demands;
     std::vector<incarnation_id> entries{incarnation_id{2}, incarnation_id{3}};
     std::map<incarnation_id, std::uint64_t> crashesSeen;
+    std::map<incarnation_id, std::uint64_t> doubtsSeen;
     std::uint64_t orderNumber = 0;
     std::uint64_t epoch = 1; ///< of the entries
     fake_target target;
@@ -223,7 +237,8 @@
     std::map<std::uint32_t, bool> settled; ///< whether the newest report called the start settled
     wire::DispatchReport fullReport;       ///< newest full report to the entry 2
     std::optional<std::size_t> endsAtShutdown; ///< reported ends when the shutdown was complete
-    std::map<incarnation_id, std::vector<std::uint32_t>> crashes; ///< as reported to each entry
+    std::map<incarnation_id, std::vector<std::uint32_t>> crashes;    ///< as reported to each entry
+    std::map<incarnation_id, std::vector<wire::TaskInDoubt>> doubts; ///< the same
 };
 
 } // namespace
@@ -562,3 +577,139 @@
         CHECK(fixture.ends.at(0).order() == 0);
     }
 }
+
+// Guards against a task that is started on another target, after its run has ended, while a later
+// lifetime of the first target may execute an earlier start.
+TEST_CASE("the end of a run names a start of its task that is in doubt")
+{
+    dispatch_agent_fixture fixture;
+    SUBCASE("a stopped run")
+    {
+        fixture.orderWithVoidedStart(0);
+        REQUIRE(fixture.started.size() == 1);
+        auto stop = fixture.message(incarnation_id{2});
+        toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+        fixture.agent.receive(stop);
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_STOPPED);
+    }
+    SUBCASE("a failed run")
+    {
+        fixture.target.failsAll = true;
+        fixture.runTime = 200ms;
+        fixture.orderWithVoidedStart(0);
+        fixture.pass(300ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_FAILED);
+    }
+    SUBCASE("a run that is lost with its lifetime")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_LOST);
+    }
+    SUBCASE("a run whose only start had no answer, lost with its lifetime")
+    {
+        fixture.loseStarts = true;
+        fixture.order(0, {1'000, 64, 0});
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_LOST);
+    }
+    const auto &end = fixture.ends.at(0);
+    CHECK(end.start_in_doubt().target() == "i-1");
+    CHECK(end.start_in_doubt().remaining_ms() > 58'000);
+    CHECK(end.start_in_doubt().remaining_ms() <= 60'000);
+}
+
+// Guards against tasks that are bound to a target without need.
+TEST_CASE("the end of a run names no start when none is in doubt")
+{
+    dispatch_agent_fixture fixture;
+    SUBCASE("the start was answered")
+    {
+        fixture.order(0, {1'000, 64, 0});
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    SUBCASE("the next target has another id")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.target.restart("i-2", 2, fixture.time.now());
+    }
+    SUBCASE("the call is no longer expected")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.pass(59s);
+        REQUIRE_FALSE(fixture.ends.contains(0));
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.time.advance(2s);
+        fixture.pass(1s);
+    }
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(2s);
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).outcome() != wire::RUN_OUTCOME_DONE);
+    CHECK_FALSE(fixture.ends.at(0).has_start_in_doubt());
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against a caller that submits its job again to an entry that does not know of a start in
+// doubt: the entry of the job has failed, and the target does not answer.
+TEST_CASE("all entries learn of a start in doubt when its entry is silent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.entries.push_back(incarnation_id{4});
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    fixture.entries = {incarnation_id{3}, incarnation_id{4}};
+    fixture.pass(500ms);
+    CHECK(fixture.doubts.empty());
+    fixture.pass(200ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    REQUIRE(fixture.doubts.contains(incarnation_id{4}));
+    const auto task = fixture.doubts.at(incarnation_id{4}).front();
+    CHECK(task.job() == 7);
+    CHECK(task.index() == 0);
+    CHECK(task.start().target() == "i-1");
+    CHECK(task.start().remaining_ms() > 58'000);
+
+    // Repeated until the entry has acknowledged it, or the call is no longer expected.
+    fixture.doubtsSeen[incarnation_id{3}] = task.number();
+    fixture.pass(1s);
+    fixture.doubts.clear();
+    fixture.pass(2s);
+    CHECK_FALSE(fixture.doubts.contains(incarnation_id{3}));
+    CHECK(fixture.doubts.contains(incarnation_id{4}));
+    fixture.entries.push_back(incarnation_id{5});
+    fixture.pass(1s);
+    CHECK(fixture.doubts.contains(incarnation_id{5}));
+    fixture.pass(60s);
+    fixture.doubts.clear();
+    fixture.pass(2s);
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against reports that grow without limit while a target answers nothing.
+TEST_CASE("the number of starts in doubt that are reported is limited")
+{
+    dispatch_agent_fixture fixture;
+    for (std::uint32_t index = 0; index < 300; ++index) {
+        fixture.orderWithVoidedStart(index);
+        auto stop = fixture.message(incarnation_id{2});
+        toWire(refOf(index), *stop.mutable_dispatch_orders()->add_stops());
+        fixture.agent.receive(stop);
+        fixture.pass(10ms);
+    }
+    fixture.doubts.clear();
+    fixture.pass(200ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    CHECK(fixture.fullReport.in_doubt_size() == 256);
+    CHECK(fixture.fullReport.in_doubt(255).index() == 299);
+}
