Return queued runs that the next target cannot execute

Callers saw tasks on targets without the required label: a target crashed, the next one of the VM was of another kind, and its agent started the runs that were queued for the earlier one. An order did not name what its run needs, and the agent compared only the capacity.

An order now names the service, the label and, for a task with a start in doubt, the target. The agent checks them when the order arrives and again before each start from its queue, returns what no longer fits as not run, and sends a full report at once, so that the entry knows what the target is now. The class is a decision that is carried out after the state on which it was based has changed; the zone and the capacity were checked again already.

Evidence: without the check the test of the queue fails for the label, the service and the id. An empty name requires nothing, so orders of an earlier version are accepted as before.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -148,6 +148,14 @@
     /// Priority and arrival number of a queued run. Runs with lower keys start first.
     using queue_key = std::tuple<std::uint32_t, std::uint64_t>;
 
+    /// What an order requires of the target; an empty string requires nothing.
+    struct target_requirements
+    {
+        std::string service;
+        std::string label;
+        std::string target; ///< id of the only target that may execute the run
+    };
+
     /// A run that is queued at the agent or started on its target. The record of a started run in
     /// the target_session is target_session::session_run.
     struct agent_run
@@ -155,6 +163,7 @@
         incarnation_id entry = incarnation_id::none; ///< the entry that ordered the run
         std::string spec;
         resources demand;
+        target_requirements requirements;
         queue_key key;
         /// Number of the entry's newest message that ordered the run; 0: of an earlier epoch.
         std::uint64_t order = 0;
@@ -202,7 +211,11 @@
     /// @param due When the run's right to execute ended.
     void stopRun(const run_ref &ref, time_point due);
     void startQueued();
-    void refuseOversizedRuns();
+    /// Refuses queued runs that the target cannot execute: it may have restarted with less
+    /// capacity, as another kind or under another id since they were accepted.
+    void refuseUnfitRuns();
+    /// Whether the target meets the requirements of an order, apart from its resources.
+    [[nodiscard]] bool targetMeets(const target_requirements &requirements) const;
     /// When the entry's newest echo becomes older than `entryLease`.
     [[nodiscard]] time_point entryLeaseEnd(incarnation_id entry) const;
     /// Stops the runs whose entry has echoed no stamp that is at most `entryLease` old, and those
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -156,6 +156,9 @@
     if (first != m_runs.end() && first->first.task == ref.task) {
         return error_kind::order_duplicate;
     }
+    if (!targetMeets({order.service(), order.required_label(), order.target()})) {
+        return error_kind::order_void;
+    }
     if (order.suspect() && order.immediate() &&
         std::ranges::any_of(m_runs, [](const auto &run) { return run.second.suspect; })) {
         return error_kind::no_room;
@@ -201,6 +204,9 @@
                       {"entry", toText(entry)},
                       {"reason", std::string{errorInfo(refusal).name}},
                       {"running_cpu", std::to_string(m_session.committed().cpuMillis)}});
+        if (refusal == error_kind::order_void) { // the entry needs to know what the target is now
+            findOrAddEntry(entry).lastFullReport = {};
+        }
         reportEnd(entry, ref, number, wire::RUN_OUTCOME_REFUSED, refusal, {}, false);
         return;
     }
@@ -209,6 +215,7 @@
     run.order = number;
     run.demand = fromWire(order.demand());
     run.spec = order.spec();
+    run.requirements = {order.service(), order.required_label(), order.target()};
     run.suspect = order.suspect();
     run.key = {order.priority(), ++m_lastQueueNumber};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
@@ -249,18 +256,35 @@
     }
 }
 
-/// Refuses queued runs that exceed the capacity of the target by themselves, which may have shrunk
-/// since they were accepted.
-void dispatch_agent::refuseOversizedRuns()
+bool dispatch_agent::targetMeets(const target_requirements &requirements) const
+{
+    const auto &target = *m_session.target();
+    return (requirements.service.empty() || requirements.service == target.service) &&
+           (requirements.label.empty() ||
+            std::ranges::find(target.labels, requirements.label) != target.labels.end()) &&
+           (requirements.target.empty() || requirements.target == target.lifetime.id);
+}
+
+void dispatch_agent::refuseUnfitRuns()
 {
-    std::vector<run_ref> oversized;
+    std::vector<std::pair<run_ref, error_kind>> unfit;
     for (const auto &[key, ref] : m_queue) {
-        if (!m_runs.at(ref).demand.fitsIn(m_session.target()->capacity)) {
-            oversized.push_back(ref);
+        const auto &run = m_runs.at(ref);
+        if (!targetMeets(run.requirements)) {
+            unfit.emplace_back(ref, error_kind::order_void);
+        } else if (!run.demand.fitsIn(m_session.target()->capacity)) {
+            unfit.emplace_back(ref, error_kind::no_room);
         }
     }
-    for (const auto &ref : oversized) {
-        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::no_room, {});
+    for (const auto &[ref, reason] : unfit) {
+        if (reason == error_kind::order_void) {
+            m_member.log("run_unfit", {{"run", toText(ref)},
+                                       {"target", m_session.target()->lifetime.id},
+                                       {"service", m_session.target()->service}});
+            // The entry needs to know what the target is now.
+            findOrAddEntry(m_runs.at(ref).entry).lastFullReport = {};
+        }
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, reason, {});
     }
 }
 
@@ -269,7 +293,7 @@
     if (!m_session.ready() || m_member.config().zoneOutOfService(m_member.self().zone)) {
         return;
     }
-    refuseOversizedRuns();
+    refuseUnfitRuns();
     auto room = m_session.target()->capacity - m_session.committed();
     std::vector<std::pair<queue_key, run_ref>> started;
     // With two suspects, a crash would not show which of them has caused it.
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -95,6 +95,9 @@
         added.set_remaining_ms(remainingMs);
         added.set_immediate(immediate);
         added.set_suspect(suspect);
+        added.set_service(requirements.service());
+        added.set_required_label(requirements.required_label());
+        added.set_target(requirements.target());
         auto &task = *added.add_tasks();
         task.set_index(index);
         task.set_run(1);
@@ -220,6 +223,7 @@
     manual_clock time;
     duration runTime = 60s;
     std::uint32_t remainingMs = 60'000; ///< time limit of the runs that are ordered next
+    wire::RunOrder requirements;        ///< service, label and target of the runs ordered next
     bool loseStops = false;             ///< stop calls are not executed and time out
     bool loseStarts = false;            ///< start calls are not executed and time out
     std::vector<std::uint32_t> startCalls;
@@ -713,3 +717,49 @@
     CHECK(fixture.fullReport.in_doubt_size() == 256);
     CHECK(fixture.fullReport.in_doubt(255).index() == 299);
 }
+
+// Guards against a queued run that is started on the next target of the VM, which lacks the label
+// that the run needs.
+TEST_CASE("a queued run is returned when the next target does not meet its requirements")
+{
+    dispatch_agent_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.labels = {"b"};
+    report.service = "quotes";
+    REQUIRE(fixture.agent.handleTargetReport(report));
+    fixture.order(0, {32'000, 64, 0});
+    SUBCASE("label")
+    {
+        fixture.requirements.set_required_label("b");
+    }
+    SUBCASE("service")
+    {
+        fixture.requirements.set_service("quotes");
+    }
+    SUBCASE("id")
+    {
+        fixture.requirements.set_target("i-1");
+    }
+    fixture.order(1, {8'000, 64, 0});
+    REQUIRE(fixture.started == std::vector<std::uint32_t>{0});
+    REQUIRE_FALSE(fixture.ends.contains(1));
+
+    fixture.target.restart("i-2", 2, fixture.time.now());
+    report = fixture.target.report(fixture.time.now());
+    report.labels = {"a"};
+    report.service = "other";
+    REQUIRE(fixture.agent.handleTargetReport(report));
+    fixture.pass(3s);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0});
+    REQUIRE(fixture.ends.contains(1));
+    CHECK(fixture.ends.at(1).outcome() == wire::RUN_OUTCOME_REFUSED);
+    CHECK(errorFromWire(fixture.ends.at(1).error()) == error_kind::order_void);
+
+    // An order that was sent for the earlier target.
+    fixture.order(2, {1'000, 64, 0});
+    REQUIRE(fixture.ends.contains(2));
+    CHECK(errorFromWire(fixture.ends.at(2).error()) == error_kind::order_void);
+    fixture.requirements.Clear();
+    fixture.order(3, {1'000, 64, 0});
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 3});
+}
