Keep the task of a replaced agent at its target while its start is in doubt

When the successor of an agent had cleared the target, the entry repeated the runs of the predecessor on any target, also those whose start had no answer yet. The successor has voided such a start only in the lifetime that it has called: if the target crashed after that and returned under its id, the next lifetime executed it beside the repeated run.

The entry now records these starts, from the newest time at which the predecessor can have made the call, so the task starts again on the same target only. Orders go no longer to an agent that was replaced; without that a late view of the predecessor received the bound task.

Evidence: the test fails without the record (the task is ordered from another agent at once) and without the second part (it is ordered from the predecessor).

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -53,7 +53,8 @@
     std::string replacedTarget; ///< id of the target that `target` has replaced at this agent
     std::vector<std::string> labels;
     bool ready = false;
-    bool cleared = false; ///< no run that an earlier agent started is left on the target
+    bool replaced = false; ///< a later agent at the same endpoint has cleared its target
+    bool cleared = false;  ///< no run that an earlier agent started is left on the target
     resources capacity;
     resources running; ///< demand of all running tasks there, of all entries, in the newest report
     std::map<std::uint32_t, resources> queued; ///< demand of all waiting tasks there, by priority
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -81,7 +81,7 @@
 
 bool agent_pool::available(const agent_view &agent) const
 {
-    return agent.ready && m_member.now() >= agent.noOrdersUntil &&
+    return agent.ready && !agent.replaced && m_member.now() >= agent.noOrdersUntil &&
            !m_member.config().zoneOutOfService(agent.zone) &&
            m_member.links().alive(agent.incarnation,
                                   inWorkingSet(agent) ? maxEchoAge : maxStandbyEchoAge);
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -181,8 +181,10 @@
 
 /// Marks the runs of earlier agents at the endpoint of `successor` as lost. Called when `successor`
 /// has reported its target as cleared, which proves that the runs of earlier agents on that target
-/// have ended. Runs that were ordered for a target with another id may execute until their lease
-/// has expired, but their starts are settled: the target with the new id refuses them.
+/// have ended. A start of them that is in doubt may be executed by a later lifetime of the target,
+/// so its task stays bound to the target. Runs that were ordered for a target with another id may
+/// execute until their lease has expired, but their starts are settled: the target with the new id
+/// refuses them.
 /// @param echo This entry's stamp that the report echoed. One agent runs at an endpoint at a time,
 ///             so an agent that has received a stamp of a time at which another one was known
 ///             already is the later one. Reports may be delayed, so the order of their arrival
@@ -195,9 +197,15 @@
             agent.knownSince >= echo) {
             continue;
         }
+        agent.replaced = true;
         std::vector<run_ref> lost;
         for (auto &[ref, run] : agent.outstanding) {
             if (run.target == clearedTarget) {
+                if (!run.startSettled) { // a later lifetime of the target may still execute it
+                    bindTask(ref.task, run.target,
+                             std::max(run.ordered, agent.lastArrival) +
+                                     m_options.limits.maxStartDelay);
+                }
                 lost.push_back(ref);
             } else {
                 run.startSettled = true;
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -935,6 +935,25 @@
     CHECK(fixture.orders[1].second.target().empty());
 }
 
+// Guards against a late start that the target executes in a later lifetime while the task runs
+// elsewhere: the next agent has voided it only in the lifetime that it has cleared.
+TEST_CASE("a run in doubt of a replaced agent is repeated only on the same target")
+{
+    silent_agent_fixture fixture;
+    fixture.receive(fixture.holdingReport(false));
+    fixture.pass(500ms);
+    auto successor = fixture.successorReport();
+    successor.mutable_dispatch_report()->set_ready(false);
+    fixture.receive(successor);
+    fixture.pass(3s);
+    CHECK(fixture.ordered() == 1);
+    fixture.receive(fixture.successorReport());
+    fixture.pass(100ms);
+    REQUIRE(fixture.orders.size() == 2);
+    CHECK(fixture.orders[1].first == successorId);
+    CHECK(fixture.orders[1].second.target() == "i-1");
+}
+
 // Guards against a task that waits for a target which was replaced before its end was reported.
 TEST_CASE("a start in doubt on a target that was replaced binds only for the lease of its runs")
 {
