Name the service and the label in orders

The agent compares them with its target when the order arrives and before the run starts from its queue. Without them a run starts on a target of another kind that has taken the place of the one for which the order was sent.

--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -198,6 +198,8 @@
         group->set_priority(job.route.priority);
         group->set_immediate(immediate);
         group->set_suspect(suspect);
+        group->set_service(job.route.service);
+        group->set_required_label(job.submission.steps[step].requiredLabel);
         group->set_target(std::string{target});
         group->set_remaining_ms(toMilliseconds(job.expires - m_member.now()));
     }
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -1006,3 +1006,20 @@
         return order.first == agentId && order.second.job() == 2 && order.second.target() == "i-1";
     }));
 }
+
+// Guards against a run that starts on a target of another service or without the required label.
+TEST_CASE("an order names the service and the label that its runs need")
+{
+    silent_agent_fixture fixture;
+    REQUIRE(fixture.orders.size() == 1);
+    CHECK(fixture.orders[0].second.service() == "quotes");
+    CHECK(fixture.orders[0].second.required_label().empty());
+    auto job = smallJob(2);
+    job.steps.front().requiredLabel = "b";
+    fixture.entry.submit(caller_request{100}, fixture.entry.config().routes.front(), job);
+    auto report = fixture.holdingReport(true);
+    report.mutable_dispatch_report()->add_labels("b");
+    fixture.receive(report);
+    REQUIRE(fixture.orders.size() == 2);
+    CHECK(fixture.orders[1].second.required_label() == "b");
+}
