--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -105,6 +105,7 @@
         }
     }
     handleCrashes(agent, report);
+    handleStartsInDoubt(agent, report);
     if (report.reconcile() && !report.ends_incomplete() && report.peer_epoch() == agent.epoch) {
         reconcile(agent, envelope);
     }
@@ -132,6 +133,10 @@
         agent.ordersHandled = std::max(agent.ordersHandled, report.orders_handled());
     }
     if (report.has_capacity()) {
+        if (!agent.target.empty() && agent.target != report.target()) {
+            agent.replacedTarget = agent.target;
+            m_starts.endDoubts(agent.replacedTarget, m_member.now());
+        }
         agent.service = report.service();
         agent.target = report.target();
         agent.capacity = fromWire(report.capacity());
@@ -176,8 +181,10 @@
 
 /// Marks the runs of earlier agents at the endpoint of `successor` as lost. Called when `successor`
 /// has reported its target as cleared, which proves that the runs of earlier agents on that target
-/// have ended. Runs that were ordered for a target with another id may execute until their lease
-/// has expired, but their starts are settled: the target with the new id refuses them.
+/// have ended. A start of them that is in doubt may be executed by a later lifetime of the target,
+/// so its task stays bound to the target. Runs that were ordered for a target with another id may
+/// execute until their lease has expired, but their starts are settled: the target with the new id
+/// refuses them.
 /// @param echo This entry's stamp that the report echoed. One agent runs at an endpoint at a time,
 ///             so an agent that has received a stamp of a time at which another one was known
 ///             already is the later one. Reports may be delayed, so the order of their arrival
@@ -190,14 +197,23 @@
             agent.knownSince >= echo) {
             continue;
         }
+        agent.replaced = true;
         std::vector<run_ref> lost;
         for (auto &[ref, run] : agent.outstanding) {
             if (run.target == clearedTarget) {
+                if (!run.startSettled) { // a later lifetime of the target may still execute it
+                    bindTask(ref.task, run.target,
+                             std::max(run.ordered, agent.lastArrival) +
+                                     m_options.limits.maxStartDelay);
+                }
                 lost.push_back(ref);
             } else {
                 run.startSettled = true;
             }
         }
+        if (!agent.target.empty() && agent.target != clearedTarget) {
+            m_starts.endDoubts(agent.target, m_member.now());
+        }
         markRunsLost(agent, lost, "agent_restarted");
     }
 }
@@ -232,6 +248,7 @@
     expireJobs();
     removeSilentAgents();
     m_crashes.removeExpired(m_member.now());
+    m_starts.removeExpired(m_member.now());
     releaseDeferredTasks();
     m_pool.updateWorkingSets();
     if (std::ranges::any_of(m_pool.agents(),
@@ -350,6 +367,7 @@
         message.set_ends_seen(agent.endsSeen);
         agent.endsAcknowledged = agent.endsSeen;
         message.set_crashes_seen(agent.crashesSeen);
+        message.set_doubts_seen(agent.doubtsSeen);
         if (!m_pool.inWorkingSet(agent)) {
             message.set_idle_report_ms(toMilliseconds(m_options.limits.standbyHeartbeatInterval));
         }
