Keep starts in doubt until another target is cleared, and report each once

The review of the rule found that an agent dropped a start in doubt as soon as a target with another id was reported, also when that report was false or late and the target never answered: the run was lost without naming the start, and its task could run twice. The start now keeps the id of the target that was called, and the doubt ends when a target with another id has been cleared.

Also found, each with a test that failed: an agent went on reporting the starts of a target that another one had replaced; each refusal of the same task was a new record and a full report to all entries; an entry that uses the agent rarely was told again only after 3 s when the first report was lost, although a caller submits its job again after 1.3 s; an agent did not know the start that its predecessor had made, so its ends named none. An order for one target now has the time for which the start is in doubt.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -154,6 +154,7 @@
         std::string service;
         std::string label;
         std::string target; ///< id of the only target that may execute the run
+        time_point until;   ///< end of the doubt because of which `target` is required
     };
 
     /// A run that is queued at the agent or started on its target. The record of a started run in
@@ -186,9 +187,9 @@
     struct doubt_record
     {
         batch_task task;
-        std::string target;       ///< id of the target that may execute the start
-        time_point until;         ///< end of the doubt
+        start_in_doubt start;
         std::uint64_t number = 0; ///< numbers the records from 1
+        time_point recorded;
     };
 
     void handleOrdersMessage(incarnation_id sender, const wire::DispatchOrders &message,
@@ -227,8 +228,11 @@
     /// Reports the start of the task that is in doubt, if any, to all entries: the caller may
     /// submit its job to any of them.
     void recordDoubt(const batch_task &task);
-    /// Adds the start of the task that is in doubt, if any, to its end.
-    void addDoubt(const batch_task &task, wire::RunEnd &end) const;
+    /// The start of the task that is in doubt, as this agent or the entry of its run knows it.
+    [[nodiscard]] std::optional<start_in_doubt> startInDoubt(const batch_task &task) const;
+    /// Whether an entry has not acknowledged a task with a start in doubt that was recorded a short
+    /// time ago.
+    [[nodiscard]] bool hasNewDoubtsFor(const entry_state &entry) const;
     [[nodiscard]] bool suspectRunning() const;
     void handleRunEnd(const run_outcome &end);
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -78,6 +78,13 @@
     bool crashPossible = false;
 };
 
+/// @brief A start call whose execution by a target, or by a later lifetime of it, is possible.
+struct start_in_doubt
+{
+    std::string target; ///< id of the target that was called
+    time_point until;   ///< when the call can no longer be executed
+};
+
 /// @brief Name of a log event with its fields.
 using session_event = std::pair<std::string, std::vector<std::pair<std::string, std::string>>>;
 
@@ -157,9 +164,10 @@
     /// @brief Whether the target executes the run and no start call of its task can be executed any
     ///        more, also by a later lifetime of the target. False for an unknown run.
     [[nodiscard]] bool startSettled(const run_ref &ref) const;
-    /// @brief Time for which a start call of the task that had no answer, or was voided by a fence,
-    ///        may still be executed by a later lifetime of the current target; 0: there is none.
-    [[nodiscard]] duration startDoubt(const batch_task &task) const;
+    /// @brief The newest start call of the task that had no answer, or was voided by a fence, and
+    ///        may still be executed by a later lifetime of its target. None once a target with
+    ///        another id has been cleared, since that one refuses the call.
+    [[nodiscard]] std::optional<start_in_doubt> startInDoubt(const batch_task &task) const;
     /// @brief Resources that are reserved for the runs of the session.
     [[nodiscard]] const resources &committed() const noexcept { return m_committed; }
     /// @brief Number of runs in the session, whether confirmed by the target or not.
@@ -309,7 +317,6 @@
     /// Whether the target is executing a foreign run of the task.
     [[nodiscard]] bool foreignRunOf(const batch_task &task) const;
     /// Whether a start call of the run's task may be executed by a later lifetime of the target.
-    [[nodiscard]] bool startInDoubt(const run_ref &ref) const;
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
              start_refusal refusal = start_refusal::none, bool crashPossible = false);
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -23,6 +23,9 @@
 /// Tasks with a start in doubt that are reported to entries; limits their part of a report to 10
 /// KB.
 constexpr std::size_t maxDoubtRecords = 256;
+/// Time for which a new one is repeated in each report at the busy interval. Longer than a caller
+/// waits before it submits its job to another entry.
+constexpr duration newDoubtPeriod = std::chrono::seconds{2};
 
 } // namespace
 
@@ -156,7 +159,7 @@
     if (first != m_runs.end() && first->first.task == ref.task) {
         return error_kind::order_duplicate;
     }
-    if (!targetMeets({order.service(), order.required_label(), order.target()})) {
+    if (!targetMeets({order.service(), order.required_label(), order.target(), {}})) {
         return error_kind::order_void;
     }
     if (order.suspect() && order.immediate() &&
@@ -215,7 +218,8 @@
     run.order = number;
     run.demand = fromWire(order.demand());
     run.spec = order.spec();
-    run.requirements = {order.service(), order.required_label(), order.target()};
+    run.requirements = {order.service(), order.required_label(), order.target(),
+                        m_member.now() + std::chrono::milliseconds{order.doubt_ms()}};
     run.suspect = order.suspect();
     run.key = {order.priority(), ++m_lastQueueNumber};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
@@ -389,20 +393,41 @@
     }
 }
 
+std::optional<start_in_doubt> dispatch_agent::startInDoubt(const batch_task &task) const
+{
+    auto start = m_session.startInDoubt(task);
+    const auto run = m_runs.lower_bound(run_ref{task, 0});
+    if (run != m_runs.end() && run->first.task == task) {
+        // The predecessor of this agent may have made the call.
+        const auto &required = run->second.requirements;
+        if (!required.target.empty() && required.until > m_member.now() &&
+            (!start || required.until > start->until)) {
+            start = start_in_doubt{required.target, required.until};
+        }
+    }
+    return start;
+}
+
 void dispatch_agent::recordDoubt(const batch_task &task)
 {
-    const auto left = m_session.startDoubt(task);
-    if (left == duration{}) {
+    const auto start = startInDoubt(task);
+    const auto known = std::ranges::find(m_doubts, task, &doubt_record::task);
+    if (known != m_doubts.end()) {
+        if (start && known->start.target == start->target && known->start.until >= start->until) {
+            return;
+        }
+        m_doubts.erase(known);
+    }
+    if (!start) {
         return;
     }
-    std::erase_if(m_doubts, [&](const auto &record) { return record.task == task; });
-    const auto &target = m_session.target()->lifetime.id;
-    m_doubts.push_back({task, target, m_member.now() + left, ++m_lastDoubt});
-    m_member.log("task_in_doubt", {{"job", toText(task.job)},
-                                   {"step", std::to_string(task.step)},
-                                   {"index", std::to_string(task.index)},
-                                   {"target", target},
-                                   {"remaining_ms", std::to_string(toMilliseconds(left))}});
+    m_doubts.push_back({task, *start, ++m_lastDoubt, m_member.now()});
+    m_member.log("task_in_doubt",
+                 {{"job", toText(task.job)},
+                  {"step", std::to_string(task.step)},
+                  {"index", std::to_string(task.index)},
+                  {"target", start->target},
+                  {"remaining_ms", std::to_string(toMilliseconds(start->until - m_member.now()))}});
     if (m_doubts.size() > maxDoubtRecords) {
         m_member.log("doubt_dropped", {{"job", toText(m_doubts.front().task.job)}});
         m_doubts.pop_front();
@@ -412,12 +437,10 @@
     }
 }
 
-void dispatch_agent::addDoubt(const batch_task &task, wire::RunEnd &end) const
+bool dispatch_agent::hasNewDoubtsFor(const entry_state &entry) const
 {
-    if (const auto left = m_session.startDoubt(task); left > duration{}) {
-        end.mutable_start_in_doubt()->set_target(m_session.target()->lifetime.id);
-        end.mutable_start_in_doubt()->set_remaining_ms(toMilliseconds(left));
-    }
+    return !m_doubts.empty() && m_doubts.back().number > entry.doubtsSeen &&
+           m_member.now() - m_doubts.back().recorded < newDoubtPeriod;
 }
 
 bool dispatch_agent::suspectRunning() const
@@ -488,7 +511,11 @@
     end.set_crash_possible(crashPossible);
     end.set_order(order);
     if (outcome != wire::RUN_OUTCOME_DONE) {
-        addDoubt(ref.task, end);
+        if (const auto start = startInDoubt(ref.task)) {
+            end.mutable_start_in_doubt()->set_target(start->target);
+            end.mutable_start_in_doubt()->set_remaining_ms(
+                    toMilliseconds(start->until - m_member.now()));
+        }
         recordDoubt(ref.task);
     }
     entry.unacked.push_back(std::move(end));
@@ -564,7 +591,11 @@
     while (!m_crashed.empty() && m_member.now() - m_crashed.front().known >= crashRetention) {
         m_crashed.pop_front();
     }
-    std::erase_if(m_doubts, [&](const auto &record) { return record.until <= m_member.now(); });
+    std::erase_if(m_doubts, [&](const doubt_record &record) {
+        const bool replaced =
+                m_session.cleared() && record.start.target != m_session.target()->lifetime.id;
+        return replaced || record.start.until <= m_member.now();
+    });
     if (m_session.ready() != m_lastLoggedReady) {
         m_lastLoggedReady = m_session.ready();
         m_member.log("target_ready", {{"ready", m_lastLoggedReady ? "true" : "false"}});
@@ -629,7 +660,7 @@
             continue;
         }
         const auto interval =
-                hasRunsOf(incarnation) || !entry.unacked.empty()
+                hasRunsOf(incarnation) || !entry.unacked.empty() || hasNewDoubtsFor(entry)
                         ? m_options.limits.busyHeartbeatInterval
                         : std::max(entry.idleInterval, m_options.limits.idleHeartbeatInterval);
         const auto sinceFullReport = now - entry.lastFullReport;
@@ -704,9 +735,9 @@
                 added.set_job(static_cast<std::uint64_t>(record.task.job));
                 added.set_step(record.task.step);
                 added.set_index(record.task.index);
-                added.mutable_start()->set_target(record.target);
+                added.mutable_start()->set_target(record.start.target);
                 added.mutable_start()->set_remaining_ms(
-                        toMilliseconds(std::max(duration{}, record.until - m_member.now())));
+                        toMilliseconds(std::max(duration{}, record.start.until - m_member.now())));
                 added.set_number(record.number);
             }
         }
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -548,17 +548,15 @@
     }
 }
 
-bool target_session::startInDoubt(const run_ref &ref) const
+std::optional<start_in_doubt> target_session::startInDoubt(const batch_task &task) const
 {
-    return startDoubt(ref.task) > duration{};
-}
-
-duration target_session::startDoubt(const batch_task &task) const
-{
-    std::optional<time_point> newest;
+    std::optional<start_in_doubt> newest;
     const auto add = [&](const std::string &target, time_point made) {
-        if (target == m_target->lifetime.id) { // under another id the call is refused
-            newest = std::max(newest.value_or(made), made);
+        // A lifetime that was only reported may be false.
+        const bool replaced = m_cleared && target != m_target->lifetime.id;
+        const auto until = made + m_limits.maxStartDelay;
+        if (!replaced && until >= m_clock.now() && (!newest || until > newest->until)) {
+            newest = start_in_doubt{target, until};
         }
     };
     if (const auto voided = m_voidedStarts.find(task); voided != m_voidedStarts.end()) {
@@ -569,14 +567,14 @@
             add(run.target, run.started);
         }
     }
-    return newest ? std::max(duration{}, *newest + m_limits.maxStartDelay - m_clock.now())
-                  : duration{};
+    return newest;
 }
 
 bool target_session::startSettled(const run_ref &ref) const
 {
     const auto found = m_runs.find(ref);
-    return found != m_runs.end() && found->second.state == run_state::running && !startInDoubt(ref);
+    return found != m_runs.end() && found->second.state == run_state::running &&
+           !startInDoubt(ref.task);
 }
 
 void target_session::markExpiredRunsLost()
@@ -590,7 +588,7 @@
     m_foreignRuns.clear(); // their lease has expired as well
     std::vector<run_ref> expired;
     for (auto &[ref, run] : m_runs) {
-        if (!startInDoubt(ref)) {
+        if (!startInDoubt(ref.task)) {
             expired.push_back(ref);
         } else if (!std::exchange(run.doubtLogged, true)) {
             log("start_in_doubt",
@@ -680,7 +678,7 @@
         end(call.ref, run_outcome::kind::not_started, start_refusal::malformed);
         break;
     case call_status::unreachable:
-        if (startInDoubt(call.ref)) { // the target may have crashed, see m_voidedStarts
+        if (startInDoubt(call.ref.task)) { // the target may have crashed, see m_voidedStarts
             run.state = run_state::unresolved;
             m_fenceRaiseDue = true;
             break;
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -98,6 +98,7 @@
         added.set_service(requirements.service());
         added.set_required_label(requirements.required_label());
         added.set_target(requirements.target());
+        added.set_doubt_ms(requirements.doubt_ms());
         auto &task = *added.add_tasks();
         task.set_index(index);
         task.set_run(1);
@@ -763,3 +764,99 @@
     fixture.order(3, {1'000, 64, 0});
     CHECK(fixture.started == std::vector<std::uint32_t>{0, 3});
 }
+
+// Guards against a task that is started elsewhere because of a report of a target that has never
+// answered: it may be of another writer, or delayed.
+TEST_CASE("a run in doubt is not lost because another target was reported that does not answer")
+{
+    dispatch_agent_fixture fixture;
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    fixture.pass(700ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime.id = "i-9";
+    report.lifetime.startedMs += 1;
+    report.address = "10.9.9.9:1";
+    fixture.agent.handleTargetReport(report);
+    fixture.pass(5s);
+    CHECK_FALSE(fixture.ends.contains(0));
+}
+
+// Guards against tasks that are bound to a target after another one has replaced it.
+TEST_CASE("starts in doubt on a replaced target are no longer reported")
+{
+    dispatch_agent_fixture fixture;
+    fixture.orderWithVoidedStart(0);
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    fixture.target.restart("i-2", 2, fixture.time.now());
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(2s);
+    fixture.doubts.clear();
+    fixture.entries.push_back(incarnation_id{4});
+    fixture.pass(1s);
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against full reports to all entries for each refusal of the same task.
+TEST_CASE("a start in doubt is recorded once for all ends of its task")
+{
+    dispatch_agent_fixture fixture;
+    fixture.orderWithVoidedStart(0);
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.fullReport.in_doubt_size() == 1);
+    const auto number = fixture.fullReport.in_doubt(0).number();
+    for (int round = 0; round < 20; ++round) {
+        fixture.order(0, {1'000'000, 64, 0}, true);
+    }
+    REQUIRE(fixture.fullReport.in_doubt_size() == 1);
+    CHECK(fixture.fullReport.in_doubt(0).number() == number);
+}
+
+// Guards against an entry that learns of a start in doubt only after the caller has submitted its
+// job again: it uses this agent rarely, and the first report was lost.
+TEST_CASE("a new start in doubt is repeated at once to entries that do not use the agent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    std::vector<time_point> told;
+    for (const auto end = fixture.time.now() + 1'300ms; fixture.time.now() < end;) {
+        fixture.time.advance(10ms);
+        fixture.target.advance(fixture.time.now());
+        auto message = fixture.message(incarnation_id{3});
+        message.mutable_dispatch_orders()->set_idle_report_ms(3'000);
+        fixture.agent.receive(message);
+        fixture.agent.tick();
+        fixture.deliver();
+        if (fixture.doubts[incarnation_id{3}].size() > told.size()) {
+            told.push_back(fixture.time.now());
+        }
+    }
+    CHECK(told.size() >= 3);
+}
+
+// Guards against a doubt that ends with the agent that has made the start call.
+TEST_CASE("an order for one target only brings its start in doubt to the agent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.requirements.set_target("i-1");
+    fixture.requirements.set_doubt_ms(20'000);
+    fixture.order(0, {1'000, 64, 0});
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).start_in_doubt().target() == "i-1");
+    CHECK(fixture.ends.at(0).start_in_doubt().remaining_ms() <= 20'000);
+    CHECK(fixture.doubts.contains(incarnation_id{3}));
+}
