End the doubt about a start only with a newer target at the same endpoint

The review of the rule found that an entry ended the doubts about a target when any report named another one, also a delayed report and one of a target that had not answered, and that it did not end them when it had not seen the change: the task waited for up to 60 s for a target that had gone. The record now has the endpoint of the agent, and a cleared, newest full report from there ends the doubts about other targets, after their lease.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -50,7 +50,6 @@
     std::string zone;
     std::string service;
     std::string target;
-    std::string replacedTarget; ///< id of the target that `target` has replaced at this agent
     std::vector<std::string> labels;
     bool ready = false;
     bool replaced = false; ///< a later agent at the same endpoint has cleared its target
@@ -64,6 +63,7 @@
     std::uint64_t endsSeen = 0;   ///< number of the newest run end that was processed; 0: none
     /// Highest number of a task with a start in doubt that was received; 0: none.
     std::uint64_t doubtsSeen = 0;
+    std::uint64_t doubtsAcknowledged = 0; ///< `doubtsSeen` in the newest message to the agent
     /// `endsSeen` in the newest message to the agent.
     std::uint64_t endsAcknowledged = 0;
     /// Highest number of a crash of the agent's target that was received; 0: none.
@@ -186,11 +186,12 @@
 
     /// @brief Chooses the agent of the only target that may execute a task, and adds the task's
     ///        demand to its candidate, if it is one. Adds the agent to the working set.
+    /// @param found The candidates for the step, if they were found already.
     /// @return No agent when there is none with that target, or when it may receive no orders or
     /// has
     ///         neither free capacity nor queue space.
     [[nodiscard]] chosen_agent chooseAgentOf(std::string_view target,
-                                             std::vector<placement_candidate> &candidates,
+                                             std::optional<std::vector<placement_candidate>> &found,
                                              const placement_request &request);
 
     /// @brief Whether an agent may receive orders, apart from the health of its target, which
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -235,8 +235,8 @@
     void handleTaskDone(job_record &job, const run_ref &ref);
     void handleTaskFailure(job_record &job, const run_ref &ref, incarnation_id agent);
     /// Records a start in doubt, see start_ledger.
-    void bindTask(const batch_task &task, std::string_view target, time_point until);
-    /// Records a start in doubt that an agent has reported.
+    void bindTask(const batch_task &task, std::string_view target, const agent_view &agent,
+                  time_point until);
     void bindTask(const batch_task &task, const wire::StartInDoubt &start, const agent_view &agent);
     void handleStartsInDoubt(agent_view &agent, const wire::DispatchReport &report);
     void handleCrashes(agent_view &agent, const wire::DispatchReport &report);
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -246,9 +246,12 @@
 }
 
 chosen_agent agent_pool::chooseAgentOf(std::string_view target,
-                                       std::vector<placement_candidate> &candidates,
+                                       std::optional<std::vector<placement_candidate>> &found,
                                        const placement_request &request)
 {
+    if (target.empty()) {
+        return {};
+    }
     const auto &taskStep = *request.taskStep;
     const auto set = m_workingSets.find(request.service);
     for (auto &[incarnation, agent] : m_agents) {
@@ -265,16 +268,19 @@
         if (!usable(agent) || !labelled || tooMany) {
             continue;
         }
-        const auto candidate = std::ranges::find(candidates, &agent, &placement_candidate::agent);
-        const auto preceding = candidate == candidates.end()
-                                       ? agent.precedingDemand(request.priority)
-                                       : candidate->precedingDemand;
+        placement_candidate *candidate = nullptr;
+        if (found) {
+            const auto position = std::ranges::find(*found, &agent, &placement_candidate::agent);
+            candidate = position == found->end() ? nullptr : &*position;
+        }
+        const auto preceding = candidate == nullptr ? agent.precedingDemand(request.priority)
+                                                    : candidate->precedingDemand;
         auto extended = agent.capacity;
         extended.cpuMillis += extended.cpuMillis * entryQueuePercent / percent;
         if (!taskStep.demand.fitsIn(extended - preceding)) {
             continue;
         }
-        if (candidate != candidates.end()) {
+        if (candidate != nullptr) {
             candidate->precedingDemand += taskStep.demand;
             ++candidate->tasks;
             candidate->chosen = true;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -63,6 +63,10 @@
     if (const auto &report = envelope.dispatch_report();
         reported && report.has_capacity() && report.cleared() && received.age) {
         markPredecessorRunsLost(agent, report.target(), m_member.now() - *received.age);
+        // A delayed report may name an earlier target.
+        if (!agent.replaced && envelope.stamp_us() >= agent.newestListStamp) {
+            m_starts.endDoubts(agent.endpoint, report.target(), m_member.now());
+        }
     }
 }
 
@@ -133,10 +137,6 @@
         agent.ordersHandled = std::max(agent.ordersHandled, report.orders_handled());
     }
     if (report.has_capacity()) {
-        if (!agent.target.empty() && agent.target != report.target()) {
-            agent.replacedTarget = agent.target;
-            m_starts.endDoubts(agent.replacedTarget, m_member.now());
-        }
         agent.service = report.service();
         agent.target = report.target();
         agent.capacity = fromWire(report.capacity());
@@ -202,7 +202,7 @@
         for (auto &[ref, run] : agent.outstanding) {
             if (run.target == clearedTarget) {
                 if (!run.startSettled) { // a later lifetime of the target may still execute it
-                    bindTask(ref.task, run.target,
+                    bindTask(ref.task, run.target, agent,
                              std::max(run.ordered, agent.lastArrival) +
                                      m_options.limits.maxStartDelay);
                 }
@@ -211,9 +211,6 @@
                 run.startSettled = true;
             }
         }
-        if (!agent.target.empty() && agent.target != clearedTarget) {
-            m_starts.endDoubts(agent.target, m_member.now());
-        }
         markRunsLost(agent, lost, "agent_restarted");
     }
 }
@@ -339,7 +336,8 @@
 /// they are not acknowledged yet, count as outstanding runs.
 duration dispatch_entry::heartbeatInterval(const agent_view &agent) const
 {
-    if (!agent.outstanding.empty() || agent.endsSeen != agent.endsAcknowledged) {
+    if (!agent.outstanding.empty() || agent.endsSeen != agent.endsAcknowledged ||
+        agent.doubtsSeen != agent.doubtsAcknowledged) {
         return m_options.limits.busyHeartbeatInterval;
     }
     return m_pool.inWorkingSet(agent) ? m_options.limits.idleHeartbeatInterval
@@ -368,6 +366,7 @@
         agent.endsAcknowledged = agent.endsSeen;
         message.set_crashes_seen(agent.crashesSeen);
         message.set_doubts_seen(agent.doubtsSeen);
+        agent.doubtsAcknowledged = agent.doubtsSeen;
         if (!m_pool.inWorkingSet(agent)) {
             message.set_idle_report_ms(toMilliseconds(m_options.limits.standbyHeartbeatInterval));
         }
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -15,7 +15,7 @@
 /// Assumed run time of queued tasks of a priority of which this entry has ordered none yet.
 constexpr duration defaultRunTime = 200ms;
 /// Delay before the next attempt to place a task whose only target cannot take it now.
-constexpr duration boundTaskRetryDelay = 50ms;
+constexpr duration targetRetryDelay = 50ms;
 constexpr int meanRunTimeOrders = 20; ///< the mean run time averages about this many orders
 
 } // namespace
@@ -143,7 +143,7 @@
             continue;
         }
         auto request = makePlacementRequest(job, stepIndex);
-        auto candidates = m_pool.candidates(request);
+        std::optional<std::vector<placement_candidate>> candidates;
         while (!step.waiting.empty()) {
             const auto index = step.waiting.back();
             const batch_task task{job.submission.id, stepIndex, index};
@@ -156,12 +156,15 @@
             const auto target = m_starts.targetOf(task, m_member.now());
             request.avoidedAgent = step.tasks[index].avoidedAgent;
             request.mayProbe = step.tasks[index].noRoomRefusals < m_options.limits.immediateOrders;
-            const auto chosen = target.empty() ? m_pool.choose(candidates, request)
-                                               : m_pool.chooseAgentOf(target, candidates, request);
-            if (chosen.agent == nullptr && !target.empty()) {
+            if (!target && !candidates) {
+                candidates = m_pool.candidates(request);
+            }
+            const auto chosen = target ? m_pool.chooseAgentOf(*target, candidates, request)
+                                       : m_pool.choose(*candidates, request);
+            if (chosen.agent == nullptr && target) {
                 // The other tasks of the job need not wait for this target.
                 step.waiting.pop_back();
-                deferTask(task, m_member.now() + boundTaskRetryDelay);
+                deferTask(task, m_member.now() + targetRetryDelay);
                 continue;
             }
             if (chosen.agent == nullptr) {
@@ -170,7 +173,7 @@
             step.waiting.pop_back();
             addOrder(*chosen.agent, job,
                      {stepIndex, index, chosen.free && request.mayProbe, m_crashes.suspect(task),
-                      target});
+                      target.value_or(std::string_view{})});
         }
     }
     return true;
@@ -206,6 +209,11 @@
     auto &task = job.steps[step].tasks[index];
     task.state = batch_task_state::ordered;
     ++task.run;
+    if (!target.empty()) {
+        const auto left =
+                m_starts.doubtEnd({job.submission.id, step, index}, target) - m_member.now();
+        group->set_doubt_ms(std::max(group->doubt_ms(), toMilliseconds(left)));
+    }
     auto &added = *group->add_tasks();
     added.set_index(index);
     added.set_run(task.run);
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -26,6 +26,8 @@
 /// its step has ended: real run times were observed to be up to 1.5 times the declared ones.
 constexpr int expectedMarginPercent = 150;
 constexpr int wholePercent = 100;
+/// Delay before a task that may start on one target only is ordered again.
+constexpr duration boundTaskRetryDelay = 50ms;
 
 } // namespace
 
@@ -130,7 +132,7 @@
     agent.slownessEstimate.recordProgress(nominal, runTime, m_member.now());
     if (runTime < nominal * replacementRunTimeFactor ||
         agent.slownessEstimate.slowness(m_member.now()) < replacementSlowness ||
-        !m_starts.targetOf(ref.task, m_member.now()).empty()) {
+        m_starts.targetOf(ref.task, m_member.now())) {
         return;
     }
     auto request = makePlacementRequest(found->second, ref.task.step);
@@ -236,28 +238,27 @@
     requeueTask(job, ref.task, agent);
 }
 
-void dispatch_entry::bindTask(const batch_task &task, std::string_view target, time_point until)
+void dispatch_entry::bindTask(const batch_task &task, std::string_view target,
+                              const agent_view &agent, time_point until)
 {
-    if (target.empty() || until <= m_member.now() || !m_starts.record(task, target, until)) {
+    const auto now = m_member.now();
+    if (target.empty() || until <= now ||
+        !m_starts.record(task, target, agent.endpoint, until, now)) {
         return;
     }
     ++m_counters.tasksBound;
-    m_member.log("task_bound",
-                 {{"job", toText(task.job)},
-                  {"step", std::to_string(task.step)},
-                  {"index", std::to_string(task.index)},
-                  {"target", std::string{target}},
-                  {"for_ms", std::to_string(toMilliseconds(until - m_member.now()))}});
+    m_member.log("task_bound", {{"job", toText(task.job)},
+                                {"step", std::to_string(task.step)},
+                                {"index", std::to_string(task.index)},
+                                {"target", std::string{target}},
+                                {"for_ms", std::to_string(toMilliseconds(until - now))}});
 }
 
 void dispatch_entry::bindTask(const batch_task &task, const wire::StartInDoubt &start,
                               const agent_view &agent)
 {
-    bindTask(task, start.target(),
+    bindTask(task, start.target(), agent,
              m_member.now() + std::chrono::milliseconds{start.remaining_ms()});
-    if (start.target() == agent.replacedTarget) { // recorded before the target was replaced
-        m_starts.endDoubts(start.target(), m_member.now());
-    }
 }
 
 /// Records the tasks whose last run at an agent has ended, or is to end, while a start is in doubt.
@@ -353,6 +354,10 @@
     }
     record.state = batch_task_state::waiting;
     record.avoidedAgent = avoidedAgent;
+    if (m_starts.targetOf(task, m_member.now())) {
+        deferTask(task, m_member.now() + boundTaskRetryDelay); // the same agent may refuse it again
+        return;
+    }
     step.waiting.push_back(task.index);
     if (!job.ending) {
         enqueue(job);
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -1023,3 +1023,80 @@
     REQUIRE(fixture.orders.size() == 2);
     CHECK(fixture.orders[1].second.required_label() == "b");
 }
+
+// Guards against a doubt that ends because of a report that shows no current target of the agent.
+TEST_CASE("a start in doubt does not end with a report of a target that was not cleared, or that "
+          "arrives late")
+{
+    silent_agent_fixture fixture;
+    auto other = fixture.agentReport();
+    other.mutable_dispatch_report()->set_target("i-9");
+    other.mutable_dispatch_report()->set_ready(false);
+    auto end = fixture.endReport(wire::RUN_OUTCOME_LOST);
+    end.mutable_dispatch_report()->set_ready(false);
+    SUBCASE("not cleared")
+    {
+        fixture.receive(end);
+        fixture.pass(100ms);
+        other.set_stamp_us(toStamp(fixture.time.now()));
+        other.mutable_dispatch_report()->set_cleared(false);
+        fixture.receive(other);
+    }
+    SUBCASE("delayed")
+    {
+        fixture.time.advance(100ms);
+        end.set_stamp_us(toStamp(fixture.time.now()));
+        fixture.receive(end);
+        fixture.receive(other);
+        auto newer = fixture.agentReport();
+        newer.mutable_dispatch_report()->set_ready(false);
+        fixture.receive(newer);
+    }
+    fixture.pass(3s);
+    CHECK(fixture.ordered() == 1);
+}
+
+// Guards against a task that waits for a target that has gone: the entry did not see the change.
+TEST_CASE("a start in doubt ends when another target is cleared at the endpoint of its agent")
+{
+    silent_agent_fixture fixture;
+    auto end = fixture.endReport(wire::RUN_OUTCOME_LOST);
+    end.mutable_dispatch_report()->set_ready(false);
+    fixture.receive(end);
+    SUBCASE("the view of the earlier agent is there")
+    {
+        fixture.pass(1s);
+    }
+    SUBCASE("the view of the earlier agent was removed")
+    {
+        fixture.pass(8s);
+        REQUIRE(fixture.logged("agent_lost") == 1);
+    }
+    CHECK(fixture.ordered() == 1);
+    fixture.receive(fixture.successorReport("i-2"));
+    fixture.pass(1'200ms);
+    CHECK(fixture.ordered() == 2);
+}
+
+// Guards against orders and refusals that follow each other without a delay.
+TEST_CASE("a task that may start on one target only is not ordered again at once after a refusal")
+{
+    silent_agent_fixture fixture;
+    fixture.receive(fixture.endReport(wire::RUN_OUTCOME_LOST));
+    fixture.pass(100ms);
+    REQUIRE(fixture.ordered() == 2);
+    auto report = fixture.agentReport();
+    auto &refusal = *report.mutable_dispatch_report()->add_ends();
+    refusal.set_number(2);
+    refusal.set_order(2);
+    auto ref = firstRun;
+    ref.run = 2;
+    toWire(ref, *refusal.mutable_run());
+    refusal.set_outcome(wire::RUN_OUTCOME_REFUSED);
+    refusal.set_error(toWire(error_kind::order_duplicate));
+    report.mutable_dispatch_report()->set_orders_handled(2);
+    fixture.receive(report);
+    CHECK(fixture.ordered() == 2);
+    fixture.pass(100ms);
+    CHECK(fixture.ordered() == 3);
+}
