--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -60,9 +60,9 @@
 {
     process_identity self;
     std::vector<std::string> contacts; ///< endpoints of processes that can list the entries
-    /// Initial fencing token for calls to the target; higher than those of the target's earlier
-    /// agents.
-    std::uint64_t initialFence = 1;
+    /// Generation of the fencing tokens in calls to the target; higher than those of the target's
+    /// earlier agents.
+    std::uint64_t fenceGeneration = 1;
     dispatch_agent_limits limits;
     target_session_limits target;
 };
@@ -142,11 +142,21 @@
         time_point lastReport;         ///< time of the newest report of any kind
         std::uint64_t reportedCpu = 0; ///< CPU demand of the running tasks in the newest report
         std::uint64_t crashesSeen = 0; ///< highest number of a crash that the entry has received
+        std::uint64_t doubtsSeen = 0;  ///< the same of the tasks with a start in doubt
     };
 
     /// Priority and arrival number of a queued run. Runs with lower keys start first.
     using queue_key = std::tuple<std::uint32_t, std::uint64_t>;
 
+    /// What an order requires of the target; an empty string requires nothing.
+    struct target_requirements
+    {
+        std::string service;
+        std::string label;
+        std::string target; ///< id of the only target that may execute the run
+        time_point until;   ///< end of the doubt because of which `target` is required
+    };
+
     /// A run that is queued at the agent or started on its target. The record of a started run in
     /// the target_session is target_session::session_run.
     struct agent_run
@@ -154,6 +164,7 @@
         incarnation_id entry = incarnation_id::none; ///< the entry that ordered the run
         std::string spec;
         resources demand;
+        target_requirements requirements;
         queue_key key;
         /// Number of the entry's newest message that ordered the run; 0: of an earlier epoch.
         std::uint64_t order = 0;
@@ -171,6 +182,16 @@
         time_point known;        ///< when the crash became known
     };
 
+    /// A task whose run is to end, or has ended other than as done, while a start of it is in
+    /// doubt.
+    struct doubt_record
+    {
+        batch_task task;
+        start_in_doubt start;
+        std::uint64_t number = 0; ///< numbers the records from 1
+        time_point recorded;
+    };
+
     void handleOrdersMessage(incarnation_id sender, const wire::DispatchOrders &message,
                              const receive_result &received);
     void handleOrders(incarnation_id entry, const wire::DispatchOrders &message, bool fresh);
@@ -191,7 +212,11 @@
     /// @param due When the run's right to execute ended.
     void stopRun(const run_ref &ref, time_point due);
     void startQueued();
-    void refuseOversizedRuns();
+    /// Refuses queued runs that the target cannot execute: it may have restarted with less
+    /// capacity, as another kind or under another id since they were accepted.
+    void refuseUnfitRuns();
+    /// Whether the target meets the requirements of an order, apart from its resources.
+    [[nodiscard]] bool targetMeets(const target_requirements &requirements) const;
     /// When the entry's newest echo becomes older than `entryLease`.
     [[nodiscard]] time_point entryLeaseEnd(incarnation_id entry) const;
     /// Stops the runs whose entry has echoed no stamp that is at most `entryLease` old, and those
@@ -200,6 +225,14 @@
     void stopRunsOfSilentEntriesAndExpiredRuns();
     void takeSessionResults();
     void recordCrash(const std::vector<batch_task> &tasks);
+    /// Reports the start of the task that is in doubt, if any, to all entries: the caller may
+    /// submit its job to any of them.
+    void recordDoubt(const batch_task &task);
+    /// The start of the task that is in doubt, as this agent or the entry of its run knows it.
+    [[nodiscard]] std::optional<start_in_doubt> startInDoubt(const batch_task &task) const;
+    /// Whether an entry has not acknowledged a task with a start in doubt that was recorded a short
+    /// time ago.
+    [[nodiscard]] bool hasNewDoubtsFor(const entry_state &entry) const;
     [[nodiscard]] bool suspectRunning() const;
     void handleRunEnd(const run_outcome &end);
     void endRun(const run_ref &ref, wire::RunOutcome outcome, error_kind error, duration runTime,
@@ -229,6 +262,8 @@
     dispatch_agent_counters m_counters;
     std::vector<duration> m_runTimes;
     std::deque<crash_record> m_crashed; ///< oldest first
+    std::deque<doubt_record> m_doubts;  ///< oldest first
+    std::uint64_t m_lastDoubt = 0;      ///< number of the newest doubt_record
     bool m_lastLoggedReady = false;
     std::optional<time_point> m_stopSince; ///< start of the graceful shutdown, if any
     bool m_shutdownReported = false;
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -78,6 +78,13 @@
     bool crashPossible = false;
 };
 
+/// @brief A start call whose execution by a target, or by a later lifetime of it, is possible.
+struct start_in_doubt
+{
+    std::string target; ///< id of the target that was called
+    time_point until;   ///< when the call can no longer be executed
+};
+
 /// @brief Name of a log event with its fields.
 using session_event = std::pair<std::string, std::vector<std::pair<std::string, std::string>>>;
 
@@ -98,9 +105,11 @@
 class target_session
 {
 public:
-    /// @param initialFence Should be higher than the fences of earlier agents of this target. If it
-    ///        is not, the session raises it when the target refuses a call.
-    target_session(const clock &clock, std::uint64_t initialFence,
+    /// @param fenceGeneration Generation of the first fence, up to 2^43. The fences of a generation
+    ///        are higher than those of lower ones. It should be higher than the generations of
+    ///        earlier agents of this target. If it is not, the session raises it when the target
+    ///        refuses a call.
+    target_session(const clock &clock, std::uint64_t fenceGeneration,
                    target_session_limits limits = {});
 
     // Target
@@ -155,6 +164,10 @@
     /// @brief Whether the target executes the run and no start call of its task can be executed any
     ///        more, also by a later lifetime of the target. False for an unknown run.
     [[nodiscard]] bool startSettled(const run_ref &ref) const;
+    /// @brief The newest start call of the task that had no answer, or was voided by a fence, and
+    ///        may still be executed by a later lifetime of its target. None once a target with
+    ///        another id has been cleared, since that one refuses the call.
+    [[nodiscard]] std::optional<start_in_doubt> startInDoubt(const batch_task &task) const;
     /// @brief Resources that are reserved for the runs of the session.
     [[nodiscard]] const resources &committed() const noexcept { return m_committed; }
     /// @brief Number of runs in the session, whether confirmed by the target or not.
@@ -206,6 +219,7 @@
         resources demand;
         run_state state = run_state::starting;
         std::uint64_t startFence = 0; ///< fence of the start call
+        std::string target;           ///< id of the target that was called
         time_point started;           ///< when the start call was made
         /// When the target confirmed that the run is executing; until then, when the start call was
         /// made.
@@ -221,6 +235,12 @@
         withheld_outcome withheld{}; ///< for run_state::withheld
     };
 
+    struct voided_start
+    {
+        std::string target; ///< id of the target that was called
+        time_point made;
+    };
+
     /// A run on the target that is not in the table.
     struct foreign_run
     {
@@ -280,6 +300,8 @@
     /// Raises the fence above one that the target has refused, unless that was done before.
     /// @return Whether the fence was raised.
     bool passRefusedFence(const pending_call &call);
+    /// Raises the fence to the first one of a generation that is higher by `step`.
+    void beginGeneration(std::uint64_t step);
     void handleStartReply(const pending_call &call, const target_reply &reply);
     void handleListReply(const pending_call &call, const target_reply &reply);
     void handleOtherLifetime(const run_listing &listing);
@@ -295,7 +317,6 @@
     /// Whether the target is executing a foreign run of the task.
     [[nodiscard]] bool foreignRunOf(const batch_task &task) const;
     /// Whether a start call of the run's task may be executed by a later lifetime of the target.
-    [[nodiscard]] bool startInDoubt(const run_ref &ref, const session_run &run) const;
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
              start_refusal refusal = start_refusal::none, bool crashPossible = false);
@@ -329,10 +350,12 @@
     bool m_shutdownAnnounced = false;       ///< the target has announced its shutdown
     bool m_cleared = false;
     std::uint64_t m_fence;
-    std::uint64_t m_fenceStep = 0; ///< last increase after a refusal; doubles with each one
-    bool m_fenceRaiseDue = false;  ///< a start without a reply has to be invalidated
-    time_point m_nextFenceRaise;   ///< earliest time of the next raise after a failed list call
-    std::uint64_t m_endsSeen = 0;  ///< number of the newest end received in this lifetime
+    std::uint64_t m_generationStep = 0; ///< last increase after a refusal; doubles with each one
+    /// Whether a call was refused since the generation was last known to be this agent's alone.
+    bool m_generationShared = false;
+    bool m_fenceRaiseDue = false; ///< a start without a reply has to be invalidated
+    time_point m_nextFenceRaise;  ///< earliest time of the next raise after a failed list call
+    std::uint64_t m_endsSeen = 0; ///< number of the newest end received in this lifetime
     std::uint64_t m_lastCall = 0;
     std::map<call_id, pending_call> m_pending;
     std::map<run_ref, session_run> m_runs;
@@ -340,9 +363,8 @@
     std::map<run_ref, foreign_run> m_foreignRuns;
     /// Times at which runs have ended recently. A delayed listing may still show these runs.
     std::map<run_ref, time_point> m_recentlyEnded;
-    /// When the newest start call of each task was made that had no answer and was voided by a
-    /// fence.
-    std::map<batch_task, time_point> m_voidedStarts;
+    /// Newest start call of each task that had no answer and was voided by a fence.
+    std::map<batch_task, voided_start> m_voidedStarts;
     resources m_committed;
     std::optional<std::int64_t> m_clockSample; ///< reading of the target's clock, in milliseconds
     time_point m_clockSampleTime;              ///< when `m_clockSample` was received
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -20,13 +20,19 @@
 /// Time for which the crashes of the target are reported to entries; as long as entries keep them.
 constexpr duration crashRetention = std::chrono::seconds{60};
 constexpr std::size_t maxCrashRecords = 64;
+/// Tasks with a start in doubt that are reported to entries; limits their part of a report to 10
+/// KB.
+constexpr std::size_t maxDoubtRecords = 256;
+/// Time for which a new one is repeated in each report at the busy interval. Longer than a caller
+/// waits before it submits its job to another entry.
+constexpr duration newDoubtPeriod = std::chrono::seconds{2};
 
 } // namespace
 
 dispatch_agent::dispatch_agent(dispatch_agent_options options, const clock &clock)
     : m_options{std::move(options)}
     , m_member{m_options.self, clock}
-    , m_session{clock, m_options.initialFence, m_options.target}
+    , m_session{clock, m_options.fenceGeneration, m_options.target}
 {
     m_member.addContacts(m_options.contacts);
 }
@@ -56,6 +62,7 @@
         forgetOrderNumbers(sender, entry);
     }
     entry.crashesSeen = message.crashes_seen();
+    entry.doubtsSeen = message.doubts_seen();
     const auto acked = message.peer_epoch() == entry.epoch ? message.ends_seen() : 0;
     while (!entry.unacked.empty() && entry.unacked.front().number() <= acked) {
         entry.unacked.pop_front();
@@ -152,6 +159,9 @@
     if (first != m_runs.end() && first->first.task == ref.task) {
         return error_kind::order_duplicate;
     }
+    if (!targetMeets({order.service(), order.required_label(), order.target(), {}})) {
+        return error_kind::order_void;
+    }
     if (order.suspect() && order.immediate() &&
         std::ranges::any_of(m_runs, [](const auto &run) { return run.second.suspect; })) {
         return error_kind::no_room;
@@ -197,6 +207,9 @@
                       {"entry", toText(entry)},
                       {"reason", std::string{errorInfo(refusal).name}},
                       {"running_cpu", std::to_string(m_session.committed().cpuMillis)}});
+        if (refusal == error_kind::order_void) { // the entry needs to know what the target is now
+            findOrAddEntry(entry).lastFullReport = {};
+        }
         reportEnd(entry, ref, number, wire::RUN_OUTCOME_REFUSED, refusal, {}, false);
         return;
     }
@@ -205,6 +218,8 @@
     run.order = number;
     run.demand = fromWire(order.demand());
     run.spec = order.spec();
+    run.requirements = {order.service(), order.required_label(), order.target(),
+                        m_member.now() + std::chrono::milliseconds{order.doubt_ms()}};
     run.suspect = order.suspect();
     run.key = {order.priority(), ++m_lastQueueNumber};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
@@ -241,21 +256,39 @@
         endRun(ref, wire::RUN_OUTCOME_STOPPED, error_kind::none, {});
     } else {
         m_session.stop(ref, due);
+        recordDoubt(ref.task); // the end may become known only when the target answers again
     }
 }
 
-/// Refuses queued runs that exceed the capacity of the target by themselves, which may have shrunk
-/// since they were accepted.
-void dispatch_agent::refuseOversizedRuns()
+bool dispatch_agent::targetMeets(const target_requirements &requirements) const
+{
+    const auto &target = *m_session.target();
+    return (requirements.service.empty() || requirements.service == target.service) &&
+           (requirements.label.empty() ||
+            std::ranges::find(target.labels, requirements.label) != target.labels.end()) &&
+           (requirements.target.empty() || requirements.target == target.lifetime.id);
+}
+
+void dispatch_agent::refuseUnfitRuns()
 {
-    std::vector<run_ref> oversized;
+    std::vector<std::pair<run_ref, error_kind>> unfit;
     for (const auto &[key, ref] : m_queue) {
-        if (!m_runs.at(ref).demand.fitsIn(m_session.target()->capacity)) {
-            oversized.push_back(ref);
+        const auto &run = m_runs.at(ref);
+        if (!targetMeets(run.requirements)) {
+            unfit.emplace_back(ref, error_kind::order_void);
+        } else if (!run.demand.fitsIn(m_session.target()->capacity)) {
+            unfit.emplace_back(ref, error_kind::no_room);
         }
     }
-    for (const auto &ref : oversized) {
-        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::no_room, {});
+    for (const auto &[ref, reason] : unfit) {
+        if (reason == error_kind::order_void) {
+            m_member.log("run_unfit", {{"run", toText(ref)},
+                                       {"target", m_session.target()->lifetime.id},
+                                       {"service", m_session.target()->service}});
+            // The entry needs to know what the target is now.
+            findOrAddEntry(m_runs.at(ref).entry).lastFullReport = {};
+        }
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, reason, {});
     }
 }
 
@@ -264,7 +297,7 @@
     if (!m_session.ready() || m_member.config().zoneOutOfService(m_member.self().zone)) {
         return;
     }
-    refuseOversizedRuns();
+    refuseUnfitRuns();
     auto room = m_session.target()->capacity - m_session.committed();
     std::vector<std::pair<queue_key, run_ref>> started;
     // With two suspects, a crash would not show which of them has caused it.
@@ -360,6 +393,56 @@
     }
 }
 
+std::optional<start_in_doubt> dispatch_agent::startInDoubt(const batch_task &task) const
+{
+    auto start = m_session.startInDoubt(task);
+    const auto run = m_runs.lower_bound(run_ref{task, 0});
+    if (run != m_runs.end() && run->first.task == task) {
+        // The predecessor of this agent may have made the call.
+        const auto &required = run->second.requirements;
+        if (!required.target.empty() && required.until > m_member.now() &&
+            (!start || required.until > start->until)) {
+            start = start_in_doubt{required.target, required.until};
+        }
+    }
+    return start;
+}
+
+void dispatch_agent::recordDoubt(const batch_task &task)
+{
+    const auto start = startInDoubt(task);
+    const auto known = std::ranges::find(m_doubts, task, &doubt_record::task);
+    if (known != m_doubts.end()) {
+        if (start && known->start.target == start->target && known->start.until >= start->until) {
+            return;
+        }
+        m_doubts.erase(known);
+    }
+    if (!start) {
+        return;
+    }
+    m_doubts.push_back({task, *start, ++m_lastDoubt, m_member.now()});
+    m_member.log("task_in_doubt",
+                 {{"job", toText(task.job)},
+                  {"step", std::to_string(task.step)},
+                  {"index", std::to_string(task.index)},
+                  {"target", start->target},
+                  {"remaining_ms", std::to_string(toMilliseconds(start->until - m_member.now()))}});
+    if (m_doubts.size() > maxDoubtRecords) {
+        m_member.log("doubt_dropped", {{"job", toText(m_doubts.front().task.job)}});
+        m_doubts.pop_front();
+    }
+    for (auto &[incarnation, entry] : m_entries) {
+        entry.lastFullReport = {};
+    }
+}
+
+bool dispatch_agent::hasNewDoubtsFor(const entry_state &entry) const
+{
+    return !m_doubts.empty() && m_doubts.back().number > entry.doubtsSeen &&
+           m_member.now() - m_doubts.back().recorded < newDoubtPeriod;
+}
+
 bool dispatch_agent::suspectRunning() const
 {
     return std::ranges::any_of(
@@ -427,6 +510,14 @@
     end.set_run_ms(toMilliseconds(runTime));
     end.set_crash_possible(crashPossible);
     end.set_order(order);
+    if (outcome != wire::RUN_OUTCOME_DONE) {
+        if (const auto start = startInDoubt(ref.task)) {
+            end.mutable_start_in_doubt()->set_target(start->target);
+            end.mutable_start_in_doubt()->set_remaining_ms(
+                    toMilliseconds(start->until - m_member.now()));
+        }
+        recordDoubt(ref.task);
+    }
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
@@ -500,6 +591,11 @@
     while (!m_crashed.empty() && m_member.now() - m_crashed.front().known >= crashRetention) {
         m_crashed.pop_front();
     }
+    std::erase_if(m_doubts, [&](const doubt_record &record) {
+        const bool replaced =
+                m_session.cleared() && record.start.target != m_session.target()->lifetime.id;
+        return replaced || record.start.until <= m_member.now();
+    });
     if (m_session.ready() != m_lastLoggedReady) {
         m_lastLoggedReady = m_session.ready();
         m_member.log("target_ready", {{"ready", m_lastLoggedReady ? "true" : "false"}});
@@ -564,7 +660,7 @@
             continue;
         }
         const auto interval =
-                hasRunsOf(incarnation) || !entry.unacked.empty()
+                hasRunsOf(incarnation) || !entry.unacked.empty() || hasNewDoubtsFor(entry)
                         ? m_options.limits.busyHeartbeatInterval
                         : std::max(entry.idleInterval, m_options.limits.idleHeartbeatInterval);
         const auto sinceFullReport = now - entry.lastFullReport;
@@ -633,6 +729,18 @@
                 crashed.set_crash(record.crash);
             }
         }
+        for (const auto &record : m_doubts) {
+            if (record.number > state.doubtsSeen) {
+                auto &added = *report.add_in_doubt();
+                added.set_job(static_cast<std::uint64_t>(record.task.job));
+                added.set_step(record.task.step);
+                added.set_index(record.task.index);
+                added.mutable_start()->set_target(record.start.target);
+                added.mutable_start()->set_remaining_ms(
+                        toMilliseconds(std::max(duration{}, record.start.until - m_member.now())));
+                added.set_number(record.number);
+            }
+        }
     }
     state.lastReport = m_member.now();
     state.reportedCpu = m_session.committed().cpuMillis;
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -18,10 +18,13 @@
 constexpr std::array<std::string_view, 5> outcomeNames{"done", "failed", "stopped", "lost",
                                                        "not_started"};
 
-/// First increase of the fence after a refusal; it doubles with each further refusal. Agents begin
-/// with a fence that is the Unix time in milliseconds, so one increase suffices when the clock of
-/// the previous agent was up to one second ahead.
-constexpr std::uint64_t initialFenceStep = 1'000;
+/// Fences of one generation. Without a refusal a session only raises its fence by 1, at most every
+/// few milliseconds, so the fences of a generation last longer than one agent is away.
+constexpr std::uint64_t fencesPerGeneration = 1'024;
+/// First increase of the generation after a refusal; it doubles with each further refusal. Agents
+/// begin with a generation that is the Unix time in milliseconds, so one increase suffices when the
+/// clock of the previous agent was up to one second ahead.
+constexpr std::uint64_t initialGenerationStep = 1'000;
 /// Delay from a failed list call to the next one and to the next raise of the fence. Also the delay
 /// from a list call that is not a long poll to the next one while no reply has arrived.
 constexpr duration retryDelay = 50ms;
@@ -75,11 +78,11 @@
     return endNames[static_cast<std::size_t>(kind)];
 }
 
-target_session::target_session(const clock &clock, std::uint64_t initialFence,
+target_session::target_session(const clock &clock, std::uint64_t fenceGeneration,
                                target_session_limits limits)
     : m_clock{clock}
     , m_limits{limits}
-    , m_fence{initialFence}
+    , m_fence{fenceGeneration * fencesPerGeneration}
 {}
 
 bool target_session::handleReport(const target_report &report)
@@ -346,6 +349,7 @@
     session_run run;
     run.demand = demand;
     run.startFence = m_fence;
+    run.target = m_target->lifetime.id;
     run.started = now;
     run.confirmed = now;
     run.suspect = suspect;
@@ -486,11 +490,17 @@
     if (call.fence != m_fence) {
         return false;
     }
-    m_fenceStep = std::max(initialFenceStep, m_fenceStep * 2);
-    m_fence += m_fenceStep;
+    m_generationStep = std::max(initialGenerationStep, m_generationStep * 2);
+    beginGeneration(m_generationStep);
+    m_generationShared = true;
     return true;
 }
 
+void target_session::beginGeneration(std::uint64_t step)
+{
+    m_fence = (m_fence / fencesPerGeneration + step) * fencesPerGeneration;
+}
+
 void target_session::tick()
 {
     if (!m_target) {
@@ -538,21 +548,33 @@
     }
 }
 
-bool target_session::startInDoubt(const run_ref &ref, const session_run &run) const
+std::optional<start_in_doubt> target_session::startInDoubt(const batch_task &task) const
 {
-    const auto mayBeExecuted = [&](time_point made) {
-        return m_clock.now() - made <= m_limits.maxStartDelay;
+    std::optional<start_in_doubt> newest;
+    const auto add = [&](const std::string &target, time_point made) {
+        // A lifetime that was only reported may be false.
+        const bool replaced = m_cleared && target != m_target->lifetime.id;
+        const auto until = made + m_limits.maxStartDelay;
+        if (!replaced && until >= m_clock.now() && (!newest || until > newest->until)) {
+            newest = start_in_doubt{target, until};
+        }
     };
-    const auto voided = m_voidedStarts.find(ref.task);
-    return (!run.startAnswered && mayBeExecuted(run.started)) ||
-           (voided != m_voidedStarts.end() && mayBeExecuted(voided->second));
+    if (const auto voided = m_voidedStarts.find(task); voided != m_voidedStarts.end()) {
+        add(voided->second.target, voided->second.made);
+    }
+    if (const auto *const ref = firstRunOf(m_runs, task); ref != nullptr) {
+        if (const auto &run = m_runs.at(*ref); !run.startAnswered) {
+            add(run.target, run.started);
+        }
+    }
+    return newest;
 }
 
 bool target_session::startSettled(const run_ref &ref) const
 {
     const auto found = m_runs.find(ref);
     return found != m_runs.end() && found->second.state == run_state::running &&
-           !startInDoubt(ref, found->second);
+           !startInDoubt(ref.task);
 }
 
 void target_session::markExpiredRunsLost()
@@ -566,7 +588,7 @@
     m_foreignRuns.clear(); // their lease has expired as well
     std::vector<run_ref> expired;
     for (auto &[ref, run] : m_runs) {
-        if (!startInDoubt(ref, run)) {
+        if (!startInDoubt(ref.task)) {
             expired.push_back(ref);
         } else if (!std::exchange(run.doubtLogged, true)) {
             log("start_in_doubt",
@@ -656,7 +678,7 @@
         end(call.ref, run_outcome::kind::not_started, start_refusal::malformed);
         break;
     case call_status::unreachable:
-        if (startInDoubt(call.ref, run)) { // the target may have crashed, see m_voidedStarts
+        if (startInDoubt(call.ref.task)) { // the target may have crashed, see m_voidedStarts
             run.state = run_state::unresolved;
             m_fenceRaiseDue = true;
             break;
@@ -685,6 +707,13 @@
             handleOtherLifetime(*reply.listing);
             return;
         }
+        // The accepted fence may be of the generation in which the previous agent has raised its
+        // fence, and some of its calls may be on their way with fences that the target has not
+        // seen.
+        if (m_generationShared && call.fence == m_fence) {
+            m_generationShared = false;
+            beginGeneration(1);
+        }
         if (m_listFailures >= maxListFailures) {
             log("target_answers_again", {{"target", m_target->lifetime.id}});
         }
@@ -769,6 +798,9 @@
             continue;
         }
         m_endsSeen = listed.number;
+        if (const auto run = m_runs.find(listed.ref); run != m_runs.end()) {
+            run->second.startAnswered = true; // its end shows that the call was executed
+        }
         switch (listed.kind) {
         case run_end_kind::done:
             end(listed.ref, run_outcome::kind::done);
@@ -830,7 +862,7 @@
         }
         const auto &run = m_runs.at(ref);
         if (!run.startAnswered) {
-            m_voidedStarts[ref.task] = run.started;
+            m_voidedStarts[ref.task] = {run.target, run.started};
         }
         const bool crashPossible = !notStarted && run.fromEarlierLifetime;
         end(ref, result, notStarted ? start_refusal::retry : start_refusal::none, crashPossible);
@@ -886,8 +918,9 @@
     }
     std::erase_if(m_recentlyEnded,
                   [&](const auto &ended) { return now - ended.second >= staleListingLimit; });
-    std::erase_if(m_voidedStarts,
-                  [&](const auto &start) { return now - start.second > m_limits.maxStartDelay; });
+    std::erase_if(m_voidedStarts, [&](const auto &start) {
+        return now - start.second.made > m_limits.maxStartDelay;
+    });
 }
 
 void target_session::end(const run_ref &ref, run_outcome::kind result, start_refusal refusal,
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -70,6 +70,7 @@
         auto &orders = *envelope.mutable_dispatch_orders();
         orders.set_epoch(epoch);
         orders.set_crashes_seen(crashesSeen[entry]);
+        orders.set_doubts_seen(doubtsSeen[entry]);
         return envelope;
     }
 
@@ -94,6 +95,10 @@
         added.set_remaining_ms(remainingMs);
         added.set_immediate(immediate);
         added.set_suspect(suspect);
+        added.set_service(requirements.service());
+        added.set_required_label(requirements.required_label());
+        added.set_target(requirements.target());
+        added.set_doubt_ms(requirements.doubt_ms());
         auto &task = *added.add_tasks();
         task.set_index(index);
         task.set_run(1);
@@ -142,6 +147,15 @@
         return target.call(call, time.now());
     }
 
+    /// Orders the run `index` and loses its first start call, which the next fence voids.
+    void orderWithVoidedStart(std::uint32_t index)
+    {
+        loseStarts = true;
+        order(index, {1'000, 64, 0});
+        loseStarts = false;
+        pass(100ms);
+    }
+
     /// Makes the agent's next list call, and executes it after the agent has been frozen for
     /// `length`.
     target_reply freezeDuringList(duration length)
@@ -195,6 +209,9 @@
         for (const auto &crashed : report.crashed()) {
             crashes[incarnation_id{envelope.receiver()}].push_back(crashed.index());
         }
+        for (const auto &task : report.in_doubt()) {
+            doubts[incarnation_id{envelope.receiver()}].push_back(task);
+        }
     }
 
     [[nodiscard]] bool refusedForRoom(std::uint32_t index) const
@@ -207,12 +224,14 @@
     manual_clock time;
     duration runTime = 60s;
     std::uint32_t remainingMs = 60'000; ///< time limit of the runs that are ordered next
+    wire::RunOrder requirements;        ///< service, label and target of the runs ordered next
     bool loseStops = false;             ///< stop calls are not executed and time out
     bool loseStarts = false;            ///< start calls are not executed and time out
     std::vector<std::uint32_t> startCalls;
     std::map<std::uint32_t, resources> demands;
     std::vector<incarnation_id> entries{incarnation_id{2}, incarnation_id{3}};
     std::map<incarnation_id, std::uint64_t> crashesSeen;
+    std::map<incarnation_id, std::uint64_t> doubtsSeen;
     std::uint64_t orderNumber = 0;
     std::uint64_t epoch = 1; ///< of the entries
     fake_target target;
@@ -223,7 +242,8 @@
     std::map<std::uint32_t, bool> settled; ///< whether the newest report called the start settled
     wire::DispatchReport fullReport;       ///< newest full report to the entry 2
     std::optional<std::size_t> endsAtShutdown; ///< reported ends when the shutdown was complete
-    std::map<incarnation_id, std::vector<std::uint32_t>> crashes; ///< as reported to each entry
+    std::map<incarnation_id, std::vector<std::uint32_t>> crashes;    ///< as reported to each entry
+    std::map<incarnation_id, std::vector<wire::TaskInDoubt>> doubts; ///< the same
 };
 
 } // namespace
@@ -562,3 +582,281 @@
         CHECK(fixture.ends.at(0).order() == 0);
     }
 }
+
+// Guards against a task that is started on another target, after its run has ended, while a later
+// lifetime of the first target may execute an earlier start.
+TEST_CASE("the end of a run names a start of its task that is in doubt")
+{
+    dispatch_agent_fixture fixture;
+    SUBCASE("a stopped run")
+    {
+        fixture.orderWithVoidedStart(0);
+        REQUIRE(fixture.started.size() == 1);
+        auto stop = fixture.message(incarnation_id{2});
+        toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+        fixture.agent.receive(stop);
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_STOPPED);
+    }
+    SUBCASE("a failed run")
+    {
+        fixture.target.failsAll = true;
+        fixture.runTime = 200ms;
+        fixture.orderWithVoidedStart(0);
+        fixture.pass(300ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_FAILED);
+    }
+    SUBCASE("a run that is lost with its lifetime")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_LOST);
+    }
+    SUBCASE("a run whose only start had no answer, lost with its lifetime")
+    {
+        fixture.loseStarts = true;
+        fixture.order(0, {1'000, 64, 0});
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+        fixture.pass(100ms);
+        REQUIRE(fixture.ends.contains(0));
+        CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_LOST);
+    }
+    const auto &end = fixture.ends.at(0);
+    CHECK(end.start_in_doubt().target() == "i-1");
+    CHECK(end.start_in_doubt().remaining_ms() > 58'000);
+    CHECK(end.start_in_doubt().remaining_ms() <= 60'000);
+}
+
+// Guards against tasks that are bound to a target without need.
+TEST_CASE("the end of a run names no start when none is in doubt")
+{
+    dispatch_agent_fixture fixture;
+    SUBCASE("the start was answered")
+    {
+        fixture.order(0, {1'000, 64, 0});
+        fixture.target.restart("i-1", 2, fixture.time.now());
+    }
+    SUBCASE("the next target has another id")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.target.restart("i-2", 2, fixture.time.now());
+    }
+    SUBCASE("the call is no longer expected")
+    {
+        fixture.orderWithVoidedStart(0);
+        fixture.pass(59s);
+        REQUIRE_FALSE(fixture.ends.contains(0));
+        fixture.target.restart("i-1", 2, fixture.time.now());
+        fixture.time.advance(2s);
+        fixture.pass(1s);
+    }
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(2s);
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).outcome() != wire::RUN_OUTCOME_DONE);
+    CHECK_FALSE(fixture.ends.at(0).has_start_in_doubt());
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against a caller that submits its job again to an entry that does not know of a start in
+// doubt: the entry of the job has failed, and the target does not answer.
+TEST_CASE("all entries learn of a start in doubt when its entry is silent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.entries.push_back(incarnation_id{4});
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    fixture.entries = {incarnation_id{3}, incarnation_id{4}};
+    fixture.pass(500ms);
+    CHECK(fixture.doubts.empty());
+    fixture.pass(200ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    REQUIRE(fixture.doubts.contains(incarnation_id{4}));
+    const auto task = fixture.doubts.at(incarnation_id{4}).front();
+    CHECK(task.job() == 7);
+    CHECK(task.index() == 0);
+    CHECK(task.start().target() == "i-1");
+    CHECK(task.start().remaining_ms() > 58'000);
+
+    // Repeated until the entry has acknowledged it, or the call is no longer expected.
+    fixture.doubtsSeen[incarnation_id{3}] = task.number();
+    fixture.pass(1s);
+    fixture.doubts.clear();
+    fixture.pass(2s);
+    CHECK_FALSE(fixture.doubts.contains(incarnation_id{3}));
+    CHECK(fixture.doubts.contains(incarnation_id{4}));
+    fixture.entries.push_back(incarnation_id{5});
+    fixture.pass(1s);
+    CHECK(fixture.doubts.contains(incarnation_id{5}));
+    fixture.pass(60s);
+    fixture.doubts.clear();
+    fixture.pass(2s);
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against reports that grow without limit while a target answers nothing.
+TEST_CASE("the number of starts in doubt that are reported is limited")
+{
+    dispatch_agent_fixture fixture;
+    for (std::uint32_t index = 0; index < 300; ++index) {
+        fixture.orderWithVoidedStart(index);
+        auto stop = fixture.message(incarnation_id{2});
+        toWire(refOf(index), *stop.mutable_dispatch_orders()->add_stops());
+        fixture.agent.receive(stop);
+        fixture.pass(10ms);
+    }
+    fixture.doubts.clear();
+    fixture.pass(200ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    CHECK(fixture.fullReport.in_doubt_size() == 256);
+    CHECK(fixture.fullReport.in_doubt(255).index() == 299);
+}
+
+// Guards against a queued run that is started on the next target of the VM, which lacks the label
+// that the run needs.
+TEST_CASE("a queued run is returned when the next target does not meet its requirements")
+{
+    dispatch_agent_fixture fixture;
+    auto report = fixture.target.report(fixture.time.now());
+    report.labels = {"b"};
+    report.service = "quotes";
+    REQUIRE(fixture.agent.handleTargetReport(report));
+    fixture.order(0, {32'000, 64, 0});
+    SUBCASE("label")
+    {
+        fixture.requirements.set_required_label("b");
+    }
+    SUBCASE("service")
+    {
+        fixture.requirements.set_service("quotes");
+    }
+    SUBCASE("id")
+    {
+        fixture.requirements.set_target("i-1");
+    }
+    fixture.order(1, {8'000, 64, 0});
+    REQUIRE(fixture.started == std::vector<std::uint32_t>{0});
+    REQUIRE_FALSE(fixture.ends.contains(1));
+
+    fixture.target.restart("i-2", 2, fixture.time.now());
+    report = fixture.target.report(fixture.time.now());
+    report.labels = {"a"};
+    report.service = "other";
+    REQUIRE(fixture.agent.handleTargetReport(report));
+    fixture.pass(3s);
+    CHECK(fixture.started == std::vector<std::uint32_t>{0});
+    REQUIRE(fixture.ends.contains(1));
+    CHECK(fixture.ends.at(1).outcome() == wire::RUN_OUTCOME_REFUSED);
+    CHECK(errorFromWire(fixture.ends.at(1).error()) == error_kind::order_void);
+
+    // An order that was sent for the earlier target.
+    fixture.order(2, {1'000, 64, 0});
+    REQUIRE(fixture.ends.contains(2));
+    CHECK(errorFromWire(fixture.ends.at(2).error()) == error_kind::order_void);
+    fixture.requirements.Clear();
+    fixture.order(3, {1'000, 64, 0});
+    CHECK(fixture.started == std::vector<std::uint32_t>{0, 3});
+}
+
+// Guards against a task that is started elsewhere because of a report of a target that has never
+// answered: it may be of another writer, or delayed.
+TEST_CASE("a run in doubt is not lost because another target was reported that does not answer")
+{
+    dispatch_agent_fixture fixture;
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    fixture.pass(700ms);
+    auto report = fixture.target.report(fixture.time.now());
+    report.lifetime.id = "i-9";
+    report.lifetime.startedMs += 1;
+    report.address = "10.9.9.9:1";
+    fixture.agent.handleTargetReport(report);
+    fixture.pass(5s);
+    CHECK_FALSE(fixture.ends.contains(0));
+}
+
+// Guards against tasks that are bound to a target after another one has replaced it.
+TEST_CASE("starts in doubt on a replaced target are no longer reported")
+{
+    dispatch_agent_fixture fixture;
+    fixture.orderWithVoidedStart(0);
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.doubts.contains(incarnation_id{3}));
+    fixture.target.restart("i-2", 2, fixture.time.now());
+    fixture.agent.handleTargetReport(fixture.target.report(fixture.time.now()));
+    fixture.pass(2s);
+    fixture.doubts.clear();
+    fixture.entries.push_back(incarnation_id{4});
+    fixture.pass(1s);
+    CHECK(fixture.doubts.empty());
+}
+
+// Guards against full reports to all entries for each refusal of the same task.
+TEST_CASE("a start in doubt is recorded once for all ends of its task")
+{
+    dispatch_agent_fixture fixture;
+    fixture.orderWithVoidedStart(0);
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.fullReport.in_doubt_size() == 1);
+    const auto number = fixture.fullReport.in_doubt(0).number();
+    for (int round = 0; round < 20; ++round) {
+        fixture.order(0, {1'000'000, 64, 0}, true);
+    }
+    REQUIRE(fixture.fullReport.in_doubt_size() == 1);
+    CHECK(fixture.fullReport.in_doubt(0).number() == number);
+}
+
+// Guards against an entry that learns of a start in doubt only after the caller has submitted its
+// job again: it uses this agent rarely, and the first report was lost.
+TEST_CASE("a new start in doubt is repeated at once to entries that do not use the agent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.loseStarts = true;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.target.crash(fixture.time.now());
+    std::vector<time_point> told;
+    for (const auto end = fixture.time.now() + 1'300ms; fixture.time.now() < end;) {
+        fixture.time.advance(10ms);
+        fixture.target.advance(fixture.time.now());
+        auto message = fixture.message(incarnation_id{3});
+        message.mutable_dispatch_orders()->set_idle_report_ms(3'000);
+        fixture.agent.receive(message);
+        fixture.agent.tick();
+        fixture.deliver();
+        if (fixture.doubts[incarnation_id{3}].size() > told.size()) {
+            told.push_back(fixture.time.now());
+        }
+    }
+    CHECK(told.size() >= 3);
+}
+
+// Guards against a doubt that ends with the agent that has made the start call.
+TEST_CASE("an order for one target only brings its start in doubt to the agent")
+{
+    dispatch_agent_fixture fixture;
+    fixture.requirements.set_target("i-1");
+    fixture.requirements.set_doubt_ms(20'000);
+    fixture.order(0, {1'000, 64, 0});
+    auto stop = fixture.message(incarnation_id{2});
+    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
+    fixture.agent.receive(stop);
+    fixture.pass(100ms);
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).start_in_doubt().target() == "i-1");
+    CHECK(fixture.ends.at(0).start_in_doubt().remaining_ms() <= 20'000);
+    CHECK(fixture.doubts.contains(incarnation_id{3}));
+}
