Follow a list of several pages from its first page

Callers of a dropped route were still served, and those of an added one were refused with 404, long after the store had acknowledged the change: an entry that listed the configuration in two pages missed a change that was executed between them. Other entries then took its older state.

The revision of the last page was taken for that of the whole list, so the watch began after the change. Lost watch events were ruled out: the change had never been in the history that the watch asked for.

The revision of a list is now that of its first page, where the watch begins. Items keep their own revisions, since later pages may contain newer ones: an older event changes nothing, and a list that is older than what is known (the store allows stale reads) neither returns to old values nor restores removed keys. This holds for the list of entries too. When the history since a list is lost before a watch has succeeded, the next lists are delayed as after failed calls; before, they followed without a pause.

Before the change the new tests failed with CHECK( watch->revision == 9 ) is NOT correct! values: CHECK( 12 == 9 ) CHECK( takeConfiguration()->second == 14 ) ... CHECK( 15 == 14 ) CHECK( read->first.at("op/evacuate/graz") == "b" ) ... CHECK( a == b ) CHECK( (!read || *read == *known) ) ... CHECK( false ) CHECK_FALSE( fixture.nextList(store_area::configuration) ) ...

--- a/include/bamboohead/dispatch/store_calls.hpp
+++ b/include/bamboohead/dispatch/store_calls.hpp
@@ -23,6 +23,8 @@
     std::string value;          ///< empty for a removal
     std::uint64_t revision = 0; ///< revision of the store at the key's newest change
     bool removed = false;
+
+    bool operator==(const store_item &) const = default;
 };
 
 /// @brief Identity and timeout of a call.
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -36,6 +36,11 @@
 /// @brief Keeps a local copy of one area of the store: lists its items, then watches for changes,
 ///        and lists them again when the store no longer has the history since the last known
 ///        revision. While the value of a key cannot be read, its last readable value holds.
+///
+/// The pages of a list are not a snapshot: the list is complete up to the revision of its first
+/// page, where the watch begins, and later pages may contain newer items. Items are therefore
+/// compared by their own revisions, and neither a list nor an event replaces or removes a newer
+/// item.
 class area_follower
 {
 public:
@@ -51,12 +56,15 @@
     /// @brief Whether the call with this id is pending.
     [[nodiscard]] bool awaits(call_id id) const { return m_pending == id; }
 
-    /// @brief Keys and values; empty before the first complete list.
-    [[nodiscard]] const std::map<std::string, std::string> &items() const noexcept
+    /// @brief Items by key; empty before the first complete list.
+    [[nodiscard]] const std::map<std::string, store_item> &items() const noexcept
     {
         return m_items;
     }
+    /// @brief The values of the items by key.
+    [[nodiscard]] std::map<std::string, std::string> values() const;
     /// @brief Revision of the store up to which the items are complete; 0 before the first list.
+    ///        Single items may be newer.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
     /// @brief Whether a call has failed since the last complete list or watch. A list fails when a
     ///        page does not advance beyond the one before, a watch when it returns only events
@@ -69,6 +77,7 @@
 
 private:
     bool handleListReply(const store_reply &reply);
+    bool finishList();
     bool handleWatchReply(const store_reply &reply);
     void handleFailure();
 
@@ -79,11 +88,13 @@
     bool m_pollOften = true;
     std::optional<call_id> m_pending;
     bool m_listing = true; ///< the pending or next call is a list; false: it is a watch
-    std::map<std::string, std::string> m_partialItems; ///< items of the list in progress
-    std::string m_lastKey;                             ///< last key of the list in progress
-    std::map<std::string, std::string> m_items;
+    std::map<std::string, store_item> m_partialItems; ///< items of the list in progress
+    std::string m_lastKey;                            ///< last key of the list in progress
+    std::uint64_t m_listRevision = 0; ///< revision of the first page of the list in progress
+    std::map<std::string, store_item> m_items;
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0;
+    std::uint32_t m_historyLosses = 0; ///< number of losses since the last successful watch
     time_point m_nextCallTime;
 };
 
@@ -165,7 +176,7 @@
     /// @}
 
     /// @brief Returns the configuration if it has changed since the last call.
-    /// @return Keys and values with the revision at which they were valid, else nothing.
+    /// @return Keys and values with the revision up to which they are complete, else nothing.
     [[nodiscard]] std::optional<std::pair<std::map<std::string, std::string>, std::uint64_t>>
     takeConfiguration();
     /// @brief Returns the endpoints of the registered entries if they have changed since the last
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -64,6 +64,10 @@
     }
     if (reply.status == store_status::gone && !m_listing) {
         m_listing = true;
+        if (m_historyLosses > 0) {
+            m_nextCallTime = m_clock.now() + retryDelayAfter(m_historyLosses, m_limits);
+        }
+        ++m_historyLosses;
         return false;
     }
     handleFailure();
@@ -72,9 +76,14 @@
 
 bool area_follower::handleListReply(const store_reply &reply)
 {
+    if (m_lastKey.empty()) {
+        // Each page is read at a later revision than the one before, and changes in between may be
+        // in none of them.
+        m_listRevision = reply.revision;
+    }
     const auto after = m_lastKey;
     for (const auto &item : reply.items) {
-        m_partialItems.insert_or_assign(item.key, item.value);
+        m_partialItems.insert_or_assign(item.key, item);
         m_lastKey = std::max(m_lastKey, item.key);
     }
     for (const auto &item : reply.unreadable) {
@@ -89,11 +98,34 @@
         }
         return false;
     }
+    return finishList();
+}
+
+/// Replaces the items by those of the complete list, except where the list is older.
+bool area_follower::finishList()
+{
+    if (m_listRevision < m_revision) {
+        // The known items are complete up to m_revision, so an older one that is not among them has
+        // been removed.
+        std::erase_if(m_partialItems, [this](const auto &listed) {
+            return listed.second.revision <= m_revision && !m_items.contains(listed.first);
+        });
+    }
+    for (const auto &[key, known] : m_items) {
+        const auto listed = m_partialItems.find(key);
+        if (listed == m_partialItems.end()) {
+            if (known.revision > m_listRevision) {
+                m_partialItems.emplace(key, known);
+            }
+        } else if (known.revision > listed->second.revision) {
+            listed->second = known;
+        }
+    }
     m_failures = 0;
     const bool changed = m_partialItems != m_items || m_revision == 0;
     m_items = std::exchange(m_partialItems, {});
     m_lastKey.clear();
-    m_revision = std::max(m_revision, reply.revision);
+    m_revision = std::max(m_revision, m_listRevision);
     m_listing = !m_watches;
     if (!m_watches) {
         m_nextCallTime = m_clock.now() + (m_pollOften ? m_limits.disconnectedPollInterval
@@ -105,6 +137,7 @@
 bool area_follower::handleWatchReply(const store_reply &reply)
 {
     m_failures = 0;
+    m_historyLosses = 0;
     // Only the revision of an event proves that all earlier events have been received. The revision
     // of a reply does not: a watch may return before it has received recent events.
     for (const auto &item : reply.unreadable) {
@@ -112,15 +145,28 @@
     }
     for (const auto &item : reply.items) {
         m_revision = std::max(m_revision, item.revision);
+        const auto known = m_items.find(item.key);
+        if (known != m_items.end() && known->second.revision >= item.revision) {
+            continue; // a later page of the list has contained a newer change
+        }
         if (item.removed) {
             m_items.erase(item.key);
         } else {
-            m_items.insert_or_assign(item.key, item.value);
+            m_items.insert_or_assign(item.key, item);
         }
     }
     return !reply.items.empty();
 }
 
+std::map<std::string, std::string> area_follower::values() const
+{
+    std::map<std::string, std::string> values;
+    for (const auto &[key, item] : m_items) {
+        values.emplace_hint(values.end(), key, item.value);
+    }
+    return values;
+}
+
 void area_follower::handleFailure()
 {
     ++m_failures;
@@ -247,7 +293,7 @@
         const bool readSucceeded = reply.status == store_status::ok;
         if (readSucceeded && m_registration) {
             const bool present = std::ranges::any_of(m_members.items(), [&](const auto &item) {
-                return item.second == m_options.memberValue;
+                return item.second.value == m_options.memberValue;
             });
             m_registration->handleMembers(present);
         }
@@ -297,7 +343,7 @@
     if (!std::exchange(m_configurationChanged, false)) {
         return std::nullopt;
     }
-    return std::pair{m_configuration.items(), m_configuration.revision()};
+    return std::pair{m_configuration.values(), m_configuration.revision()};
 }
 
 std::optional<std::vector<std::string>> store_follower::takeMembers()
@@ -306,8 +352,8 @@
         return std::nullopt;
     }
     std::vector<std::string> endpoints;
-    for (const auto &[key, value] : m_members.items()) {
-        endpoints.push_back(value);
+    for (const auto &[key, item] : m_members.items()) {
+        endpoints.push_back(item.value);
     }
     return endpoints;
 }
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -116,6 +116,132 @@
     CHECK(watch->revision == 9);
 }
 
+// Guards against missing for good a change that is executed while the pages of a list are read.
+TEST_CASE("a list of several pages is complete up to the revision of its first page")
+{
+    follower_fixture fixture{entryOptions()};
+    auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "old", 5, false}}, 9, true);
+    list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/evacuate/graz", "{}", 6, false}}, 12);
+    CHECK(fixture.follower.takeConfiguration()->second == 9);
+    const auto watch = fixture.next<watch_area>();
+    REQUIRE(watch);
+    CHECK(watch->revision == 9);
+    fixture.reply(watch->header.id, store_status::ok, {{"op/config", "new", 11, false}}, 12);
+    const auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.at("op/config") == "new");
+    CHECK(read->second == 11);
+}
+
+// Guards against a list that is interrupted and continued under the revision of its first attempt.
+TEST_CASE("a list that is begun again has the revision of its new first page")
+{
+    follower_fixture fixture{entryOptions()};
+    auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, 9, true);
+    list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::unanswered);
+    fixture.pass(100ms);
+    list = fixture.nextList(store_area::configuration);
+    REQUIRE(list);
+    CHECK(list->after.empty());
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, 14, true);
+    list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/evacuate/graz", "{}", 6, false}}, 15);
+    CHECK(fixture.follower.takeConfiguration()->second == 14);
+    CHECK(fixture.next<watch_area>()->revision == 14);
+}
+
+// Guards against a return to an older state by the history that follows a list of several pages.
+TEST_CASE("an event that is older than a listed item changes nothing")
+{
+    follower_fixture fixture{entryOptions()};
+    auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, 9, true);
+    list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok,
+                  {{"op/evacuate/graz", "b", 12, false}, {"op/evacuate/wien", "{}", 12, false}},
+                  12);
+    (void)fixture.follower.takeConfiguration();
+    auto watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::ok,
+                  {{"op/evacuate/graz", "a", 10, false}, {"op/evacuate/wien", "", 11, true}}, 12);
+    auto read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK(read->first.at("op/evacuate/graz") == "b");
+    CHECK(read->first.contains("op/evacuate/wien"));
+    CHECK(read->second == 11);
+    watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::ok, {{"op/evacuate/wien", "", 13, true}}, 13);
+    read = fixture.follower.takeConfiguration();
+    REQUIRE(read);
+    CHECK_FALSE(read->first.contains("op/evacuate/wien"));
+}
+
+// Guards against a return to an older state by a list from a server of the store that lags behind.
+TEST_CASE("a list that is older than what is known changes nothing")
+{
+    follower_fixture fixture{entryOptions()};
+    const auto list = fixture.nextList(store_area::configuration);
+    fixture.reply(list->header.id, store_status::ok,
+                  {{"op/config", "old", 5, false}, {"op/evacuate/graz", "{}", 6, false}}, 9);
+    auto watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::ok,
+                  {{"op/config", "new", 11, false},
+                   {"op/evacuate/graz", "", 12, true},
+                   {"op/evacuate/wien", "{}", 13, false}},
+                  13);
+    const auto known = fixture.follower.takeConfiguration();
+    watch = fixture.next<watch_area>();
+    fixture.reply(watch->header.id, store_status::gone);
+    const auto older = fixture.nextList(store_area::configuration);
+    REQUIRE(older);
+    fixture.reply(older->header.id, store_status::ok,
+                  {{"op/config", "old", 5, false}, {"op/evacuate/graz", "{}", 6, false}}, 10);
+    const auto read = fixture.follower.takeConfiguration();
+    CHECK((!read || *read == *known));
+    watch = fixture.next<watch_area>();
+    REQUIRE(watch);
+    CHECK(watch->revision == 13);
+}
+
+// Guards against lists without a pause when the store drops the history faster than a list is made.
+TEST_CASE("an area whose history is lost during each list is listed at growing intervals")
+{
+    follower_fixture fixture{entryOptions()};
+    std::uint64_t revision = 9;
+    const auto listAndLoseHistory = [&] {
+        const auto list = fixture.nextList(store_area::configuration);
+        REQUIRE(list);
+        revision += 10;
+        fixture.reply(list->header.id, store_status::ok, {{"op/config", "1", 5, false}}, revision);
+        const auto watch = fixture.next<watch_area>();
+        REQUIRE(watch);
+        fixture.reply(watch->header.id, store_status::gone);
+    };
+    listAndLoseHistory();
+    listAndLoseHistory(); // the first loss is not repeated yet
+    CHECK(fixture.follower.takeConfiguration()->first.contains("op/config"));
+    for (const auto delay : {100ms, 200ms, 400ms}) {
+        CHECK_FALSE(fixture.nextList(store_area::configuration));
+        fixture.pass(delay - 1ms);
+        CHECK_FALSE(fixture.nextList(store_area::configuration));
+        fixture.pass(1ms);
+        listAndLoseHistory();
+    }
+    // What was listed stays in force meanwhile.
+    CHECK_FALSE(fixture.follower.takeConfiguration());
+    fixture.pass(800ms);
+    fixture.reply(fixture.nextList(store_area::configuration)->header.id, store_status::ok,
+                  {{"op/config", "1", 5, false}}, 99);
+    fixture.reply(fixture.next<watch_area>()->header.id, store_status::ok, {}, 99);
+    // A watch has succeeded, so the next loss of the history is the first one again.
+    fixture.reply(fixture.next<watch_area>()->header.id, store_status::gone);
+    CHECK(fixture.nextList(store_area::configuration));
+}
+
 TEST_CASE("a watch that returns without events does not advance the revision")
 {
     // Guards against missing a change: a watch may return before it has received the change, with
