Answer for a job by its id after its route was dropped

Callers that cancelled a job after the operators had dropped its route got 404 again and again; the job ran to its end and was answered as succeeded. A request for its state got 404 as well.

Cause: the HTTP interface looked for a route of the current configuration before it looked for the job, so a job that outlived its route was out of reach. The entry itself still held the job: the request reached the right entry, and without the change of the configuration the cancellation succeeded.

POST gets 404 as before, and so does a path that never belonged to a route.

Before, the test "a job is asked for and cancelled after its route was dropped" failed: GET did not return the state, GET of an unknown job was not 410, DELETE was not 200, and the job was not cancelled.

Not covered: a process that starts after the drop does not know the dropped route and answers 404 for jobs that it does not hold.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -152,6 +152,10 @@
     ///         last run has ended. A job that has succeeded or failed is known for
     ///         `endedJobRetention`, or until 100,000 further jobs have succeeded or failed.
     [[nodiscard]] std::optional<batch_job_state> stateOf(batch_job_id id) const;
+    /// @brief Finds the job of a request whose route config() lacks: the path belongs to a dropped
+    ///        route, or to the route of an open job.
+    [[nodiscard]] std::optional<batch_job_id> jobOfDroppedRoute(std::string_view host,
+                                                                std::string_view path) const;
     /// @brief Number of open jobs of a route of which no task has been ordered yet.
     [[nodiscard]] std::size_t waitingJobs(std::string_view route) const;
     /// @brief Whether a load balancer should send callers to this entry.
--- a/include/bamboohead/dispatch/fleet_member.hpp
+++ b/include/bamboohead/dispatch/fleet_member.hpp
@@ -3,6 +3,7 @@
 #include "bamboohead/clock.hpp"
 #include "bamboohead/dispatch/desired_state.hpp"
 #include "bamboohead/dispatch/dispatch_action.hpp"
+#include "bamboohead/dispatch/dropped_routes.hpp"
 #include "bamboohead/link_table.hpp"
 
 #include <deque>
@@ -47,6 +48,8 @@
     /// @return Whether it was newer.
     bool adopt(const desired_state &newer, std::string_view source);
     [[nodiscard]] const desired_state &config() const noexcept { return m_config; }
+    /// @brief Routes of earlier configurations that config() lacks.
+    [[nodiscard]] const dropped_routes &droppedRoutes() const noexcept { return m_droppedRoutes; }
     /// @brief Requests the desired state of a peer when the revision that it reports is newer.
     ///        Requests to one peer are at least 300 ms apart.
     ///
@@ -113,6 +116,7 @@
     const clock &m_clock;
     link_table m_links;
     desired_state m_config;
+    dropped_routes m_droppedRoutes;
     std::map<std::string, contact> m_contacts; ///< by endpoint; those that are contacted now
     /// Known endpoints, most recently added first; includes those in `m_contacts`.
     std::deque<std::string> m_knownEndpoints;
--- a/include/bamboohead/dispatch/run_ref.hpp
+++ b/include/bamboohead/dispatch/run_ref.hpp
@@ -3,6 +3,7 @@
 #include "bamboohead/wire.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -41,6 +42,9 @@
     auto operator<=>(const run_ref &) const = default;
 };
 
+/// @brief Length of the text form of a batch_job_id.
+inline constexpr std::size_t batchJobIdDigits = 16;
+
 /// @brief Text form of an id: sixteen hexadecimal digits in lower case.
 [[nodiscard]] std::string toText(batch_job_id id);
 
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -93,12 +93,13 @@
             return;
         }
         const auto match = findRoute(config, platform::hostOf(request), platform::pathOf(request));
-        if (!match) {
-            refuse(exchange, error_kind::unknown_route);
+        const auto id = match ? parseBatchJobId(match->rest) : std::nullopt;
+        if (!id && handleJobOfDroppedRoute(exchange, request)) {
             return;
         }
-        const auto id = parseBatchJobId(match->rest);
-        if (match->rest.empty() && request.method() == http::verb::get) {
+        if (!match) {
+            refuse(exchange, error_kind::unknown_route);
+        } else if (match->rest.empty() && request.method() == http::verb::get) {
             m_callerServer.respond(
                     exchange, platform::encodeWaitingJobs(m_core.waitingJobs(match->route->name)));
         } else if (!id) {
@@ -108,6 +109,41 @@
         }
     }
 
+    /// Answers a request for, or the cancellation of, a job that may run although its route was
+    /// dropped.
+    /// @return Whether the request was answered.
+    bool handleJobOfDroppedRoute(http_exchange exchange, const http_server_request &request)
+    {
+        if (request.method() != http::verb::get && request.method() != http::verb::delete_) {
+            return false;
+        }
+        const auto id =
+                m_core.jobOfDroppedRoute(platform::hostOf(request), platform::pathOf(request));
+        if (!id) {
+            return false;
+        }
+        if (request.method() == http::verb::get) {
+            sendState(exchange, *id);
+        } else {
+            cancel(exchange, *id);
+        }
+        return true;
+    }
+
+    void sendState(http_exchange exchange, batch_job_id id)
+    {
+        const auto state = m_core.stateOf(id);
+        m_callerServer.respond(exchange, state ? platform::encodeState(*state)
+                                               : platform::encodeUnknownJob());
+    }
+
+    void cancel(http_exchange exchange, batch_job_id id)
+    {
+        m_callerServer.respond(exchange, m_core.cancel(id) ? platform::encodeEmpty(/*ok=*/true)
+                                                           : platform::encodeUnknownJob());
+        m_loop.schedulePass();
+    }
+
     void handleJob(http_exchange exchange, const http_server_request &request,
                    const dispatch_route &route, batch_job_id id)
     {
@@ -116,16 +152,10 @@
             submit(exchange, request, route, id);
             break;
         case http::verb::get:
-            if (const auto state = m_core.stateOf(id)) {
-                m_callerServer.respond(exchange, platform::encodeState(*state));
-            } else {
-                m_callerServer.respond(exchange, platform::encodeUnknownJob());
-            }
+            sendState(exchange, id);
             break;
         case http::verb::delete_:
-            m_callerServer.respond(exchange, m_core.cancel(id) ? platform::encodeEmpty(/*ok=*/true)
-                                                               : platform::encodeUnknownJob());
-            m_loop.schedulePass();
+            cancel(exchange, id);
             break;
         default:
             refuse(exchange, error_kind::invalid_request, "the method is not POST, GET or DELETE");
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -323,6 +323,25 @@
     }
 }
 
+std::optional<batch_job_id> dispatch_entry::jobOfDroppedRoute(std::string_view host,
+                                                              std::string_view path) const
+{
+    if (const auto rest = m_member.droppedRoutes().restOfPath(host, path)) {
+        if (const auto id = parseBatchJobId(*rest)) {
+            return id;
+        }
+    }
+    // Open jobs may outnumber the dropped routes that are kept.
+    const auto idStart = path.size() - std::min(path.size(), batchJobIdDigits);
+    const auto id = parseBatchJobId(path.substr(idStart));
+    const auto found = id ? m_jobs.find(*id) : m_jobs.end();
+    if (found == m_jobs.end() || found->second.route.host != host ||
+        found->second.route.prefix != path.substr(0, idStart)) {
+        return std::nullopt;
+    }
+    return id;
+}
+
 /// Ends the open jobs and reports the end of the shutdown. A job of which no task was ordered has
 /// certainly not run.
 void dispatch_entry::finishShutdown()
--- a/src/dispatch/fleet_member.cpp
+++ b/src/dispatch/fleet_member.cpp
@@ -192,6 +192,7 @@
                                 {"zones_out", zones},
                                 {"source", std::string{source}}});
     }
+    m_droppedRoutes.update(m_config.routes, state.routes);
     m_config = state;
     return true;
 }
--- a/src/dispatch/run_ref.cpp
+++ b/src/dispatch/run_ref.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t idDigits = 16;
 constexpr int hexadecimal = 16;
 
 bool isLowerHexDigit(char c)
@@ -20,11 +19,11 @@
 
 std::string toText(batch_job_id id)
 {
-    std::array<char, idDigits> digits{};
+    std::array<char, batchJobIdDigits> digits{};
     const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
                                    static_cast<std::uint64_t>(id), hexadecimal);
     const std::string text{digits.data(), end.ptr};
-    return std::string(idDigits - text.size(), '0') + text;
+    return std::string(batchJobIdDigits - text.size(), '0') + text;
 }
 
 std::string toText(const run_ref &ref)
@@ -35,7 +34,7 @@
 
 std::optional<batch_job_id> parseBatchJobId(std::string_view text)
 {
-    if (text.size() != idDigits || !std::ranges::all_of(text, isLowerHexDigit)) {
+    if (text.size() != batchJobIdDigits || !std::ranges::all_of(text, isLowerHexDigit)) {
         return std::nullopt;
     }
     std::uint64_t value = 0;
--- a/tests/dispatch_entry_process_test.cpp
+++ b/tests/dispatch_entry_process_test.cpp
@@ -168,6 +168,21 @@
         return caller;
     }
 
+    /// Sends a request without a body on a connection of its own.
+    /// @return The response with its header.
+    std::string request(const std::string &method, const std::string &path)
+    {
+        tcp::socket caller{callerContext};
+        caller.connect({asio::ip::address_v4::loopback(), process.callerPort()});
+        asio::write(caller,
+                    asio::buffer(method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\n\r\n"));
+        caller.non_blocking(true);
+        REQUIRE(runUntil([&] { return caller.available() > 0; }));
+        std::string response(caller.available(), ' ');
+        caller.read_some(asio::buffer(response));
+        return response;
+    }
+
     const suspend_aware_clock time;
     process_settings settings = makeSettings();
     dispatch_entry_process process{settings, "", time};
@@ -260,3 +275,28 @@
     CHECK(process.core().counters().runsLost == 0);
     CHECK(agent.orders() == 1);
 }
+
+// Guards against jobs that cannot be cancelled and run to their end, because their route was
+// dropped after they were submitted.
+TEST_CASE_FIXTURE(entry_process_fixture,
+                  "a job is asked for and cancelled after its route was dropped")
+{
+    connectAgent(true);
+    const auto caller = submitJob();
+    REQUIRE(runUntil([&] { return agent.orders() == 1; }));
+    auto state = stateWithOneRoute();
+    state.revision = 2;
+    state.version = 2;
+    state.routes.front().name = "orders";
+    state.routes.front().prefix = "/orders/";
+    process.core().handleConfig(state);
+    CHECK(request("GET", "/quotes/0000000000000001").find(R"({"state":"running"})") !=
+          std::string::npos);
+    CHECK(request("GET", "/quotes/0000000000000002").starts_with("HTTP/1.1 410"));
+    CHECK(request("GET", "/quotes/").starts_with("HTTP/1.1 404"));
+    CHECK(request("POST", "/quotes/0000000000000002").starts_with("HTTP/1.1 404"));
+    CHECK(request("DELETE", "/never/0000000000000001").starts_with("HTTP/1.1 404"));
+    CHECK(process.core().stateOf(batch_job_id{1}) == batch_job_state::running);
+    CHECK(request("DELETE", "/quotes/0000000000000001").starts_with("HTTP/1.1 200"));
+    CHECK(process.core().stateOf(batch_job_id{1}) == batch_job_state::cancelled);
+}
