--- a/include/bamboohead/dispatch/dropped_routes.hpp
+++ b/include/bamboohead/dispatch/dropped_routes.hpp
@@ -16,8 +16,7 @@
 class dropped_routes
 {
 public:
-    /// Dropped routes that are kept, the newest ones. Bounds the memory to some 100 KB; a
-    /// configuration has fewer routes.
+    /// Dropped routes that are kept, the newest ones. Bounds the memory to some 100 KB.
     static constexpr std::size_t maxRoutes = 1'000;
 
     /// @brief Adds the routes of `before` whose host and prefix are missing in `now`.
