Do not start a cancelled job anew by a repeat of its request

A job that its caller had cancelled was started anew by a copy of its request that arrived later, and resumed by one that arrived while its runs were being stopped, although the cancellation had been acknowledged.

Cause: nothing was kept of a cancellation. A job that was cancelled and one whose callers had left were the same to submit(); only the latter may be resumed, as its callers come back.

A repeat is answered as cancelled.

Before, the tests of tests/dispatch_cancel_test.cpp failed: the repeat got no reply (REQUIRE( 0 == 1 )), and after it the job was open again.

Not covered: a cancellation that reaches an entry that does not hold the job is still not passed on to the others.

--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/dispatch/agent_pool.hpp"
 #include "bamboohead/dispatch/batch_job.hpp"
+#include "bamboohead/dispatch/cancel_ledger.hpp"
 #include "bamboohead/dispatch/crash_ledger.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
 
@@ -49,6 +50,9 @@
     /// Time for which the result of a job that has succeeded or failed is kept, to answer repeated
     /// requests for it.
     duration endedJobRetention = std::chrono::seconds{30};
+    /// Shortest time for which a cancelled job is not started by a repeat of its request, also when
+    /// it is unknown how long its caller waits. Twice the wait of callers that give none.
+    duration minCancelRetention = std::chrono::seconds{60};
     /// Shortest drain, in which jobs are still accepted: the load balancer stops sending jobs only
     /// after two failed checks, one second apart.
     duration minDrainTime = std::chrono::milliseconds{2'500};
@@ -126,13 +130,16 @@
     /// @brief Handles endpoints of entries that were found in the store.
     void addEntryEndpoints(const std::vector<std::string> &endpoints);
     /// @brief Accepts or refuses a job that a caller submits to a route of config(). A job that is
-    ///        already open, or has recently succeeded or failed, is not started again. A cancelled
-    ///        job is resumed if its runs have not all ended yet, and is otherwise a new job.
+    ///        already open, or has recently succeeded or failed, is not started again. A job
+    ///        that cancel() was called for is answered as cancelled. One whose callers have left,
+    ///        or whose time limit has passed, is resumed if its runs have not all ended yet, and is
+    ///        otherwise a new job.
     void submit(caller_request request, const dispatch_route &route, batch_submission job);
     /// @brief Handles the disconnection of the caller of `request`; a job without callers is
     ///        cancelled.
     void callerDisconnected(caller_request request);
-    /// @brief Cancels a job.
+    /// @brief Cancels a job. A repeat of its request does not start it for as long as its callers
+    ///        wait, and for `minCancelRetention` at least.
     /// @return False when the job is unknown; true also for a job that has already ended and whose
     ///         result is still kept.
     bool cancel(batch_job_id id);
@@ -265,6 +272,7 @@
     void endJob(job_record &job, batch_job_state state, error_kind error);
     void keepResult(batch_job_id id, batch_job_state state);
     void expireJobs();
+    [[nodiscard]] duration callerTimeoutOf(const batch_submission &job) const;
     void removeIfFinished(batch_job_id id);
     void evictEndedJobs();
     void sendOrders();
@@ -288,6 +296,7 @@
     std::set<std::pair<time_point, batch_job_id>> m_expiries;
     std::unordered_map<batch_job_id, batch_job_state> m_ended;
     std::deque<ended_job> m_endedByTime; ///< jobs of `m_ended`, oldest end first
+    cancel_ledger m_cancels;
     crash_ledger m_crashes;
     std::multimap<time_point, batch_task> m_deferred;              ///< by the end of the delay
     std::map<incarnation_id, wire::DispatchOrders> m_unsentOrders; ///< orders and stops, by agent
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -232,6 +232,7 @@
     expireJobs();
     removeSilentAgents();
     m_crashes.removeExpired(m_member.now());
+    m_cancels.removeExpired(m_member.now());
     releaseDeferredTasks();
     m_pool.updateWorkingSets();
     if (std::ranges::any_of(m_pool.agents(),
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -92,6 +92,12 @@
     return m_startRate.timeToStart(backlog, share, m_member.now());
 }
 
+duration dispatch_entry::callerTimeoutOf(const batch_submission &job) const
+{
+    return job.callerTimeout > duration{} ? job.callerTimeout
+                                          : m_options.limits.defaultCallerTimeout;
+}
+
 void dispatch_entry::submit(caller_request request, const dispatch_route &route,
                             batch_submission job)
 {
@@ -102,6 +108,13 @@
         m_member.push(job_reply{request, ended->second, error_kind::none, {}, {}});
         return;
     }
+    if (m_cancels.contains(id)) {
+        m_member.log("job_repeated", {{"job", toText(id)}, {"state", "cancelled"}});
+        m_cancels.record(id, m_member.now() + callerTimeoutOf(job));
+        m_member.push(
+                job_reply{request, batch_job_state::cancelled, error_kind::cancelled, {}, {}});
+        return;
+    }
     if (m_interrupted.contains(id)) {
         m_member.push(
                 job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
@@ -129,9 +142,7 @@
     job_record record;
     record.route = route;
     record.received = m_member.now();
-    record.expires = record.received + (job.callerTimeout > duration{}
-                                                ? job.callerTimeout
-                                                : m_options.limits.defaultCallerTimeout);
+    record.expires = record.received + callerTimeoutOf(job);
     for (const auto &step : job.steps) {
         batch_step_record added;
         added.tasks.resize(step.count);
@@ -165,9 +176,9 @@
     enqueue(m_jobs.emplace(id, std::move(record)).first->second);
 }
 
-/// Adds a repeated request to its job. A cancelled job whose runs have not all ended yet is
-/// resumed, whatever the reason of the cancellation: tasks whose runs are being stopped start again
-/// after these runs have ended.
+/// Adds a repeated request to its job. A job whose callers have left, or whose time limit has
+/// passed, is resumed while its runs have not all ended: tasks whose runs are being stopped start
+/// again after these runs have ended.
 void dispatch_entry::joinJob(job_record &job, caller_request request)
 {
     if (job.endState && *job.endState != batch_job_state::cancelled) {
@@ -185,9 +196,7 @@
         job.ending = false;
         job.endState.reset();
         m_expiries.erase({job.expires, job.submission.id});
-        job.expires = m_member.now() + (job.submission.callerTimeout > duration{}
-                                                ? job.submission.callerTimeout
-                                                : m_options.limits.defaultCallerTimeout);
+        job.expires = m_member.now() + callerTimeoutOf(job.submission);
         m_expiries.emplace(job.expires, job.submission.id);
         enqueue(job);
     }
@@ -242,6 +251,9 @@
 bool dispatch_entry::cancel(batch_job_id id)
 {
     const auto found = m_jobs.find(id);
+    const auto minimum = m_member.now() + m_options.limits.minCancelRetention;
+    m_cancels.record(id,
+                     found == m_jobs.end() ? minimum : std::max(minimum, found->second.expires));
     if (found == m_jobs.end()) {
         return m_ended.contains(id);
     }
