--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -246,6 +246,7 @@
     removeSilentAgents();
     m_crashes.removeExpired(m_member.now());
     m_starts.removeExpired(m_member.now());
+    m_cancels.removeExpired(m_member.now());
     releaseDeferredTasks();
     m_pool.updateWorkingSets();
     if (std::ranges::any_of(m_pool.agents(),
