--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -187,9 +187,8 @@
     /// @brief Chooses the agent of the only target that may execute a task, and adds the task's
     ///        demand to its candidate, if it is one. Adds the agent to the working set.
     /// @param found The candidates for the step, if they were found already.
-    /// @return No agent when there is none with that target, or when it may receive no orders or
-    /// has
-    ///         neither free capacity nor queue space.
+    /// @return No agent when there is none with that target, or when it may receive no orders, or
+    ///         has neither free capacity nor queue space.
     [[nodiscard]] chosen_agent chooseAgentOf(std::string_view target,
                                              std::optional<std::vector<placement_candidate>> &found,
                                              const placement_request &request);
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -51,6 +51,9 @@
     /// Time for which the result of a job that has succeeded or failed is kept, to answer repeated
     /// requests for it.
     duration endedJobRetention = std::chrono::seconds{30};
+    /// Delay before a task that may start on one target only is placed again, when it was refused
+    /// or its target cannot take it; about the interval of reports of a changed load.
+    duration boundTaskRetryDelay = std::chrono::milliseconds{50};
     /// Shortest time for which a cancelled job is not started by a repeat of its request, also when
     /// it is unknown how long its caller waits. Twice the wait of callers that give none.
     duration minCancelRetention = std::chrono::seconds{60};
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -20,8 +20,7 @@
 /// Time for which the crashes of the target are reported to entries; as long as entries keep them.
 constexpr duration crashRetention = std::chrono::seconds{60};
 constexpr std::size_t maxCrashRecords = 64;
-/// Tasks with a start in doubt that are reported to entries; limits their part of a report to 10
-/// KB.
+/// Tasks with a start in doubt that are reported to entries: about 10 KB of a full report.
 constexpr std::size_t maxDoubtRecords = 256;
 /// Time for which a new one is repeated in each report at the busy interval. Longer than a caller
 /// waits before it submits its job to another entry.
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t maxSkippedJobs = 8;
 /// Assumed run time of queued tasks of a priority of which this entry has ordered none yet.
 constexpr duration defaultRunTime = 200ms;
-/// Delay before the next attempt to place a task whose only target cannot take it now.
-constexpr duration targetRetryDelay = 50ms;
 constexpr int meanRunTimeOrders = 20; ///< the mean run time averages about this many orders
 
 } // namespace
@@ -164,7 +162,7 @@
             if (chosen.agent == nullptr && target) {
                 // The other tasks of the job need not wait for this target.
                 step.waiting.pop_back();
-                deferTask(task, m_member.now() + targetRetryDelay);
+                deferTask(task, m_member.now() + m_options.limits.boundTaskRetryDelay);
                 continue;
             }
             if (chosen.agent == nullptr) {
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -26,8 +26,6 @@
 /// its step has ended: real run times were observed to be up to 1.5 times the declared ones.
 constexpr int expectedMarginPercent = 150;
 constexpr int wholePercent = 100;
-/// Delay before a task that may start on one target only is ordered again.
-constexpr duration boundTaskRetryDelay = 50ms;
 
 } // namespace
 
@@ -355,7 +353,8 @@
     record.state = batch_task_state::waiting;
     record.avoidedAgent = avoidedAgent;
     if (m_starts.targetOf(task, m_member.now())) {
-        deferTask(task, m_member.now() + boundTaskRetryDelay); // the same agent may refuse it again
+        // The same agent may refuse it again.
+        deferTask(task, m_member.now() + m_options.limits.boundTaskRetryDelay);
         return;
     }
     step.waiting.push_back(task.index);
