--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -277,6 +277,7 @@
     [[nodiscard]] duration measureEventLoopDelay();
     void demoteOrRefuseLateJobs();
     void finishShutdown();
+    [[nodiscard]] bool handleRepeatedRequest(caller_request request, const batch_submission &job);
     void joinJob(job_record &job, caller_request request);
     void enqueue(const job_record &job);
     void dispatch();
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -98,27 +98,27 @@
                                           : m_options.limits.defaultCallerTimeout;
 }
 
-void dispatch_entry::submit(caller_request request, const dispatch_route &route,
-                            batch_submission job)
+/// Answers a request for a job that is known already, or adds it to the open job.
+/// @return False when the job is new.
+bool dispatch_entry::handleRepeatedRequest(caller_request request, const batch_submission &job)
 {
-    ++m_counters.submitted;
     const auto id = job.id;
     if (const auto ended = m_ended.find(id); ended != m_ended.end()) {
         m_member.log("job_repeated", {{"job", toText(id)}, {"state", "ended"}});
         m_member.push(job_reply{request, ended->second, error_kind::none, {}, {}});
-        return;
+        return true;
     }
     if (m_cancels.contains(id)) {
         m_member.log("job_repeated", {{"job", toText(id)}, {"state", "cancelled"}});
         m_cancels.record(id, m_member.now() + callerTimeoutOf(job));
         m_member.push(
                 job_reply{request, batch_job_state::cancelled, error_kind::cancelled, {}, {}});
-        return;
+        return true;
     }
     if (m_interrupted.contains(id)) {
         m_member.push(
                 job_reply{request, batch_job_state::cancelled, error_kind::interrupted, {}, {}});
-        return;
+        return true;
     }
     const auto known = m_jobs.find(id);
     if ((known == m_jobs.end() || known->second.ending) && m_crashes.givenUp(id)) {
@@ -126,12 +126,23 @@
         ++m_counters.failed;
         keepResult(id, batch_job_state::failed);
         m_member.push(job_reply{request, batch_job_state::failed, error_kind::none, {}, {}});
-        return;
+        return true;
     }
     if (known != m_jobs.end()) {
         m_member.log("job_repeated",
                      {{"job", toText(id)}, {"state", known->second.ending ? "ending" : "open"}});
         joinJob(known->second, request);
+        return true;
+    }
+    return false;
+}
+
+void dispatch_entry::submit(caller_request request, const dispatch_route &route,
+                            batch_submission job)
+{
+    ++m_counters.submitted;
+    const auto id = job.id;
+    if (handleRepeatedRequest(request, job)) {
         return;
     }
     const auto refusal = refusalReason(route, job);
