Share the repeated parts of bound tasks and starts in doubt

No change of behaviour. The choice of the agent of one target repeated the checks of label and number of tasks, the capacity with queue space, and the update of a candidate that the general choice already had; both now call the same functions. The session recorded a voided start with its own type and computed its end at each use; it now records the start in doubt that it reports. The agent encoded such a start twice. A comment of a removed function is gone, a type of the ledger no longer shares its name with that of the session, and the tests of the agent send their stops by one function.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -122,7 +122,15 @@
     double slowness = 1.0;
     double preference = 1.0; ///< weight factor; higher for targets with the preferred label
     std::uint32_t tasks = 0; ///< outstanding tasks of the step on this agent
-    bool chosen = false;     ///< agent_pool::choose() has returned the agent for an earlier task
+    bool chosen = false;     ///< the agent was chosen for an earlier task
+
+    /// @brief Adds the demand of a task for which the agent was chosen.
+    void addTask(const resources &demand)
+    {
+        precedingDemand += demand;
+        ++tasks;
+        chosen = true;
+    }
 };
 
 /// @brief An agent that was chosen for a task.
@@ -228,6 +236,10 @@
     void estimateLoads(std::vector<placement_candidate> &candidates) const;
     /// Adds agents with the label that the tasks need or prefer to the working set.
     void addLabelledAgents(const placement_request &request);
+    /// Whether the step allows a further task on the agent's target: by its label and the number of
+    /// tasks there.
+    [[nodiscard]] static bool allowedByStep(const agent_view &agent,
+                                            const placement_request &request);
     /// Whether an agent may run a further task of the step, apart from its load.
     [[nodiscard]] bool isEligible(const agent_view &agent, const placement_request &request) const;
     [[nodiscard]] static std::uint32_t outstandingTasks(const agent_view &agent,
--- a/include/bamboohead/dispatch/start_ledger.hpp
+++ b/include/bamboohead/dispatch/start_ledger.hpp
@@ -63,20 +63,20 @@
 private:
     using start_key = std::pair<batch_task, std::string>; ///< task and id of the target
 
-    struct start_in_doubt
+    struct start_record
     {
         std::string endpoint;
         time_point until;
     };
 
-    using start_map = std::map<start_key, start_in_doubt>;
+    using start_map = std::map<start_key, start_record>;
 
     void setEnd(start_map::iterator start, time_point until);
     void remove(start_map::iterator start);
 
     start_ledger_limits m_limits;
     start_map m_starts;
-    std::set<std::pair<time_point, start_key>> m_byEnd; ///< by start_in_doubt::until
+    std::set<std::pair<time_point, start_key>> m_byEnd; ///< by start_record::until
     std::map<std::string, std::set<start_key>, std::less<>> m_byEndpoint;
 };
 
--- a/include/bamboohead/dispatch/target_session.hpp
+++ b/include/bamboohead/dispatch/target_session.hpp
@@ -235,12 +235,6 @@
         withheld_outcome withheld{}; ///< for run_state::withheld
     };
 
-    struct voided_start
-    {
-        std::string target; ///< id of the target that was called
-        time_point made;
-    };
-
     /// A run on the target that is not in the table.
     struct foreign_run
     {
@@ -316,7 +310,6 @@
     [[nodiscard]] bool foreign(const pending_call &call, const run_ref &ref) const;
     /// Whether the target is executing a foreign run of the task.
     [[nodiscard]] bool foreignRunOf(const batch_task &task) const;
-    /// Whether a start call of the run's task may be executed by a later lifetime of the target.
     void markExpiredRunsLost();
     void end(const run_ref &ref, run_outcome::kind result,
              start_refusal refusal = start_refusal::none, bool crashPossible = false);
@@ -364,7 +357,7 @@
     /// Times at which runs have ended recently. A delayed listing may still show these runs.
     std::map<run_ref, time_point> m_recentlyEnded;
     /// Newest start call of each task that had no answer and was voided by a fence.
-    std::map<batch_task, voided_start> m_voidedStarts;
+    std::map<batch_task, start_in_doubt> m_voidedStarts;
     resources m_committed;
     std::optional<std::int64_t> m_clockSample; ///< reading of the target's clock, in milliseconds
     time_point m_clockSampleTime;              ///< when `m_clockSample` was received
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -38,6 +38,14 @@
     return job_id{{}, static_cast<std::uint64_t>(job)};
 }
 
+/// Capacity of an agent including the queue space that an entry uses.
+resources capacityWithQueue(const agent_view &agent)
+{
+    auto capacity = agent.capacity;
+    capacity.cpuMillis += capacity.cpuMillis * entryQueuePercent / percent;
+    return capacity;
+}
+
 bool hasLabel(const agent_view &agent, const std::string &label)
 {
     return std::ranges::find(agent.labels, label) != agent.labels.end();
@@ -160,17 +168,21 @@
     return count;
 }
 
-bool agent_pool::isEligible(const agent_view &agent, const placement_request &request) const
+bool agent_pool::allowedByStep(const agent_view &agent, const placement_request &request)
 {
     const auto &taskStep = *request.taskStep;
-    return agent.service == request.service && inWorkingSet(agent) && usable(agent) &&
-           m_health.usable(agent.incarnation, m_member.now()) &&
-           taskStep.demand.fitsIn(agent.capacity) &&
-           (taskStep.requiredLabel.empty() || hasLabel(agent, taskStep.requiredLabel)) &&
+    return (taskStep.requiredLabel.empty() || hasLabel(agent, taskStep.requiredLabel)) &&
            (taskStep.maxTasksPerTarget == 0 ||
             outstandingTasks(agent, request) < taskStep.maxTasksPerTarget);
 }
 
+bool agent_pool::isEligible(const agent_view &agent, const placement_request &request) const
+{
+    return agent.service == request.service && inWorkingSet(agent) && usable(agent) &&
+           m_health.usable(agent.incarnation, m_member.now()) &&
+           request.taskStep->demand.fitsIn(agent.capacity) && allowedByStep(agent, request);
+}
+
 bool agent_pool::hasAgentWithFreeCapacity(const placement_request &request) const
 {
     return std::ranges::any_of(m_agents, [&](const auto &item) {
@@ -239,9 +251,7 @@
     if (chosen.candidate == nullptr) {
         return {};
     }
-    chosen.candidate->precedingDemand += request.taskStep->demand;
-    ++chosen.candidate->tasks;
-    chosen.candidate->chosen = true;
+    chosen.candidate->addTask(request.taskStep->demand);
     return {chosen.candidate->agent, chosen.free};
 }
 
@@ -252,7 +262,7 @@
     if (target.empty()) {
         return {};
     }
-    const auto &taskStep = *request.taskStep;
+    const auto &demand = request.taskStep->demand;
     const auto set = m_workingSets.find(request.service);
     for (auto &[incarnation, agent] : m_agents) {
         if (agent.target != target || agent.service != request.service || !available(agent)) {
@@ -261,11 +271,7 @@
         if (set != m_workingSets.end()) {
             set->second.add(incarnation);
         }
-        const bool labelled =
-                taskStep.requiredLabel.empty() || hasLabel(agent, taskStep.requiredLabel);
-        const bool tooMany = taskStep.maxTasksPerTarget != 0 &&
-                             outstandingTasks(agent, request) >= taskStep.maxTasksPerTarget;
-        if (!usable(agent) || !labelled || tooMany) {
+        if (!usable(agent) || !allowedByStep(agent, request)) {
             continue;
         }
         placement_candidate *candidate = nullptr;
@@ -275,17 +281,14 @@
         }
         const auto preceding = candidate == nullptr ? agent.precedingDemand(request.priority)
                                                     : candidate->precedingDemand;
-        auto extended = agent.capacity;
-        extended.cpuMillis += extended.cpuMillis * entryQueuePercent / percent;
-        if (!taskStep.demand.fitsIn(extended - preceding)) {
+        if (!demand.fitsIn(capacityWithQueue(agent) - preceding)) {
             continue;
         }
+        const bool free = demand.fitsIn(agent.capacity - preceding);
         if (candidate != nullptr) {
-            candidate->precedingDemand += taskStep.demand;
-            ++candidate->tasks;
-            candidate->chosen = true;
+            candidate->addTask(demand);
         }
-        return {&agent, taskStep.demand.fitsIn(agent.capacity - preceding)};
+        return {&agent, free};
     }
     return {};
 }
@@ -320,9 +323,7 @@
             (candidate.agent->ownDemand() + taskStep.demand).fitsIn(agent.capacity)) {
             withOldReport.push_back(&candidate);
         }
-        auto extended = agent.capacity;
-        extended.cpuMillis += extended.cpuMillis * entryQueuePercent / percent;
-        const auto queueSpace = extended - candidate.precedingDemand;
+        const auto queueSpace = capacityWithQueue(agent) - candidate.precedingDemand;
         const auto cost = candidate.slowness /
                           static_cast<double>(std::max<std::uint64_t>(1, queueSpace.cpuMillis));
         if (taskStep.demand.fitsIn(queueSpace) && (fallback == nullptr || cost < fallbackCost)) {
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -26,6 +26,12 @@
 /// waits before it submits its job to another entry.
 constexpr duration newDoubtPeriod = std::chrono::seconds{2};
 
+void toWire(const start_in_doubt &start, time_point now, wire::StartInDoubt &out)
+{
+    out.set_target(start.target);
+    out.set_remaining_ms(toMilliseconds(std::max(duration{}, start.until - now)));
+}
+
 } // namespace
 
 dispatch_agent::dispatch_agent(dispatch_agent_options options, const clock &clock)
@@ -511,9 +517,7 @@
     end.set_order(order);
     if (outcome != wire::RUN_OUTCOME_DONE) {
         if (const auto start = startInDoubt(ref.task)) {
-            end.mutable_start_in_doubt()->set_target(start->target);
-            end.mutable_start_in_doubt()->set_remaining_ms(
-                    toMilliseconds(start->until - m_member.now()));
+            toWire(*start, m_member.now(), *end.mutable_start_in_doubt());
         }
         recordDoubt(ref.task);
     }
@@ -734,9 +738,7 @@
                 added.set_job(static_cast<std::uint64_t>(record.task.job));
                 added.set_step(record.task.step);
                 added.set_index(record.task.index);
-                added.mutable_start()->set_target(record.start.target);
-                added.mutable_start()->set_remaining_ms(
-                        toMilliseconds(std::max(duration{}, record.start.until - m_member.now())));
+                toWire(record.start, m_member.now(), *added.mutable_start());
                 added.set_number(record.number);
             }
         }
--- a/src/dispatch/target_session.cpp
+++ b/src/dispatch/target_session.cpp
@@ -551,20 +551,19 @@
 std::optional<start_in_doubt> target_session::startInDoubt(const batch_task &task) const
 {
     std::optional<start_in_doubt> newest;
-    const auto add = [&](const std::string &target, time_point made) {
+    const auto add = [&](const start_in_doubt &start) {
         // A lifetime that was only reported may be false.
-        const bool replaced = m_cleared && target != m_target->lifetime.id;
-        const auto until = made + m_limits.maxStartDelay;
-        if (!replaced && until >= m_clock.now() && (!newest || until > newest->until)) {
-            newest = start_in_doubt{target, until};
+        const bool replaced = m_cleared && start.target != m_target->lifetime.id;
+        if (!replaced && start.until >= m_clock.now() && (!newest || start.until > newest->until)) {
+            newest = start;
         }
     };
     if (const auto voided = m_voidedStarts.find(task); voided != m_voidedStarts.end()) {
-        add(voided->second.target, voided->second.made);
+        add(voided->second);
     }
     if (const auto *const ref = firstRunOf(m_runs, task); ref != nullptr) {
         if (const auto &run = m_runs.at(*ref); !run.startAnswered) {
-            add(run.target, run.started);
+            add({run.target, run.started + m_limits.maxStartDelay});
         }
     }
     return newest;
@@ -862,7 +861,7 @@
         }
         const auto &run = m_runs.at(ref);
         if (!run.startAnswered) {
-            m_voidedStarts[ref.task] = {run.target, run.started};
+            m_voidedStarts[ref.task] = {run.target, run.started + m_limits.maxStartDelay};
         }
         const bool crashPossible = !notStarted && run.fromEarlierLifetime;
         end(ref, result, notStarted ? start_refusal::retry : start_refusal::none, crashPossible);
@@ -918,9 +917,7 @@
     }
     std::erase_if(m_recentlyEnded,
                   [&](const auto &ended) { return now - ended.second >= staleListingLimit; });
-    std::erase_if(m_voidedStarts, [&](const auto &start) {
-        return now - start.second.made > m_limits.maxStartDelay;
-    });
+    std::erase_if(m_voidedStarts, [&](const auto &start) { return start.second.until < now; });
 }
 
 void target_session::end(const run_ref &ref, run_outcome::kind result, start_refusal refusal,
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -147,6 +147,14 @@
         return target.call(call, time.now());
     }
 
+    /// Sends a stop of the run `index`.
+    void sendStop(std::uint32_t index, incarnation_id entry = incarnation_id{2})
+    {
+        auto stop = message(entry);
+        toWire(refOf(index), *stop.mutable_dispatch_orders()->add_stops());
+        agent.receive(stop);
+    }
+
     /// Orders the run `index` and loses its first start call, which the next fence voids.
     void orderWithVoidedStart(std::uint32_t index)
     {
@@ -321,9 +329,7 @@
     CHECK(fixture.started.size() == 2);
     fixture.order(3, {1'000, 64, 0}, true);
     CHECK(fixture.refusedForRoom(3));
-    auto stop = fixture.message(incarnation_id{2});
-    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-    fixture.agent.receive(stop);
+    fixture.sendStop(0);
     CHECK(fixture.started.size() == 2); // the run that is being stopped still counts
     CHECK_FALSE(fixture.ends.contains(0));
     fixture.pass(300ms);
@@ -481,9 +487,7 @@
 {
     dispatch_agent_fixture fixture;
     fixture.order(0, {1'000, 64, 0});
-    auto stop = fixture.message(incarnation_id{3});
-    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-    fixture.agent.receive(stop);
+    fixture.sendStop(0, incarnation_id{3});
     fixture.pass(100ms);
     CHECK(fixture.target.running().size() == 1);
     CHECK_FALSE(fixture.ends.contains(0));
@@ -592,9 +596,7 @@
     {
         fixture.orderWithVoidedStart(0);
         REQUIRE(fixture.started.size() == 1);
-        auto stop = fixture.message(incarnation_id{2});
-        toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-        fixture.agent.receive(stop);
+        fixture.sendStop(0);
         fixture.pass(100ms);
         REQUIRE(fixture.ends.contains(0));
         CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_STOPPED);
@@ -707,9 +709,7 @@
     dispatch_agent_fixture fixture;
     for (std::uint32_t index = 0; index < 300; ++index) {
         fixture.orderWithVoidedStart(index);
-        auto stop = fixture.message(incarnation_id{2});
-        toWire(refOf(index), *stop.mutable_dispatch_orders()->add_stops());
-        fixture.agent.receive(stop);
+        fixture.sendStop(index);
         fixture.pass(10ms);
     }
     fixture.doubts.clear();
@@ -788,9 +788,7 @@
 {
     dispatch_agent_fixture fixture;
     fixture.orderWithVoidedStart(0);
-    auto stop = fixture.message(incarnation_id{2});
-    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-    fixture.agent.receive(stop);
+    fixture.sendStop(0);
     fixture.pass(100ms);
     REQUIRE(fixture.doubts.contains(incarnation_id{3}));
     fixture.target.restart("i-2", 2, fixture.time.now());
@@ -807,9 +805,7 @@
 {
     dispatch_agent_fixture fixture;
     fixture.orderWithVoidedStart(0);
-    auto stop = fixture.message(incarnation_id{2});
-    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-    fixture.agent.receive(stop);
+    fixture.sendStop(0);
     fixture.pass(100ms);
     REQUIRE(fixture.fullReport.in_doubt_size() == 1);
     const auto number = fixture.fullReport.in_doubt(0).number();
@@ -851,9 +847,7 @@
     fixture.requirements.set_target("i-1");
     fixture.requirements.set_doubt_ms(20'000);
     fixture.order(0, {1'000, 64, 0});
-    auto stop = fixture.message(incarnation_id{2});
-    toWire(refOf(0), *stop.mutable_dispatch_orders()->add_stops());
-    fixture.agent.receive(stop);
+    fixture.sendStop(0);
     fixture.pass(100ms);
     REQUIRE(fixture.ends.contains(0));
     CHECK(fixture.ends.at(0).start_in_doubt().target() == "i-1");
