--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -245,10 +245,8 @@
         self.runs = {}
         self.history = []  # rows [task, run, begin, end, how, cpu capacity, demand]
         self.server = None
-        self.beats = None
         self.writers = set()
-        self.first_beat_s = 0.0  # from the start of a lifetime to its first status report
-        self.demand_of = lambda spec: 0
+        self.first_report_s = 0.0  # from the start of a lifetime, when it takes calls, to its first status report
 
     async def start(self):
         """Begins a lifetime. It keeps the id of the one before."""
@@ -293,7 +291,7 @@
         return 100_000 + int((time.monotonic() - self.clock_base) * 1000)
 
     async def report_periodically(self):
-        await asyncio.sleep(self.first_beat_s)
+        await asyncio.sleep(self.first_report_s)
         while True:
             self.sequence += 1
             body = {"service": self.service, "address": f"{self.host}:{APP}", "zone": self.machine.zone,
