--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,133 +1,83 @@
-"""A start order is carried out late, by a runner that has restarted under its id, while its task runs elsewhere.
+"""A zone is evacuated while the entry is cut off from the store and the agents are not.
 
-A job has two steps, which together take longer than its client waits; the client sends it again 1.3 s after its time
-limit, to the other entry. Trouble: the first start order of the first task gets no answer and is carried out late; the
-agent sends another one, with which the task ends done. The runner crashes before the client sends the job again, and
-starts again under its id 0.4 s later. The late order reaches it then; it is tried again each 5 ms until the runner takes
-calls.
+Trouble: the entry is partitioned from the store for 5.5 s. 0.2 s later the operator writes op/evacuate/ZONE for a zone
+whose runners are in use. The agents reach the store all the while. Without the trouble only the operator writes.
 """
 
 import asyncio
-import json
+import os
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 
-from standins import FRONT, Runner, System, encode_response, job_id, main, read_message, submit
+from standins import FRONT, Runner, System, job_id, main, submit
 
-ROUNDS = 4
-FIRST_REPORT_S = 0.03  # from the start of a runner, when it takes calls, to its first status report
-LIMIT_MS = 1_500  # the client's time limit
-RETRY_S = 1.3  # retryMs
-WORK_S = {"0": 0.6, "1": 1.2}  # by step
-CRASH_S = 2.6  # from the first POST of a round, before the second one at 2.8 s
-DOWN_S = 0.4
-LATE_S = 2.8  # from the call to the first try to carry it out
+ENTRIES = int(os.environ.get("ENTRIES", "1"))
+CUT_S = 5.5
+WORK_S = 0.06
+JOB_INTERVAL_S = 0.05
+EVACUATE_S = 5.0  # evacuateMs
+ZONE = "graz-a"
 
 
-class LateRunner(Runner):
-    """Leaves the first start order of the first step unanswered, when `late` holds it for the current round."""
+async def send_jobs(record, entry, posts):
+    while True:
+        steps = [{"count": 4, "cpu": 3100, "memMb": 64, "estimateMs": int(WORK_S * 1000)}]
+        posts.append(asyncio.create_task(
+            submit(record, (entry.ip, FRONT), "/lohu930/", job_id(), steps, "quote", 1500)))
+        await asyncio.sleep(JOB_INTERVAL_S)
 
-    round = None  # shared by all runners
 
-    async def accept(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while message := await read_message(reader):
-                path, call = message[0].split(" ")[1], json.loads(message[2] or b"{}")
-                if path == "/run-start" and call["task"].endswith(".0.0.0") and LateRunner.round.take(self):
-                    self.record.write("order_left_unanswered", runner=self.name, task=call["task"], run=call["run"],
-                                      fence=call["fence"])
-                    asyncio.create_task(self.carry_out_late(path, message[1], call))
-                    await asyncio.sleep(2.0)
-                    return
-                writer.write(encode_response(*await self.handle(path, message[1], call)))
-                await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    async def carry_out_late(self, path, headers, call):
-        await asyncio.sleep(LATE_S)
-        while not self.server.is_serving():
-            await asyncio.sleep(0.005)
-        status, body = await self.handle(path, headers, call)
-        self.record.write("order_carried_out_late", runner=self.name, task=call["task"], run=call["run"],
-                          fence=call["fence"], status=status, reason=body.get("reason", ""))
-
-    def on_start(self, task, number, spec):
-        for other in LateRunner.round.runners:
-            if other is not self and task in other.runs:
-                LateRunner.round.twice.append(task)
-                self.record.write("two_runs_at_once", task=task, runners=f"{other.name},{self.name}")
-
-
-class Round:
-    def __init__(self, runners, trouble):
-        self.runners, self.trouble = runners, trouble
-        self.late_runner = None
-        self.twice = []
-
-    def take(self, runner):
-        if not self.trouble or self.late_runner is not None:
-            return False
-        self.late_runner = runner
-        return True
-
-
-async def play(record, entries, current):
-    job = job_id()
-    steps = [{"count": 1, "cpu": 3100, "memMb": 64, "estimateMs": 600},
-             {"count": 1, "cpu": 3100, "memMb": 64, "estimateMs": 1200, "after": [0]}]
-    begin = record.now()
-
-    async def client():
-        for entry in entries:
-            status, _ = await submit(record, (entry.ip, FRONT), "/lohu930/", job, steps, "quote", LIMIT_MS)
-            if status not in (0, 502, 504):
-                return
-            await asyncio.sleep(RETRY_S)
-
-    sending = asyncio.create_task(client())
-    if current.trouble:
-        await asyncio.sleep(CRASH_S - (record.now() - begin))
-        if current.late_runner is not None:
-            await current.late_runner.crash()
-            await asyncio.sleep(DOWN_S)
-            await current.late_runner.start()
-    await sending
-    await asyncio.sleep(1.0)
+async def heal(system, record):
+    await asyncio.sleep(CUT_S)
+    system.store.cut.clear()
+    record.write("cut_ends")
 
 
 async def case(record, trouble):
     system = System(record)
-    twice, late = [], 0
+    posts = []
     try:
-        entries = [system.add("entry", "wien-a"), system.add("entry", "wien-b")]
-        agents = [system.add("agent", zone) for zone in ("wien-a", "wien-b", "graz-a", "linz-a")]
+        entries = [system.add("entry", zone) for zone in ("wien-a", "wien-b")[:ENTRIES]]
+        agents = [system.add("agent", zone) for zone in ("wien-a", "wien-b", ZONE, ZONE)]
         system.write_config(3, [("desk", "/lohu930/", "desk")])
         await system.start()
-        runners = [LateRunner(record, f"i-{number}", agent, system.app_host(agent),
-                              lambda task, spec: WORK_S[task.split(".")[2]]) for number, agent in enumerate(agents)]
-        for runner in runners:
-            runner.first_report_s = FIRST_REPORT_S
+        starts = []
+        runners = []
+        for number, agent in enumerate(agents):
+            runner = Runner(record, f"i-{number}", agent, system.app_host(agent), lambda task, spec: WORK_S)
+            runner.on_start = lambda task, run, spec, zone=agent.zone: starts.append((record.now(), zone, task))
             await runner.start()
+            runners.append(runner)
         if not await system.wait_ready():
             return 2
-        await asyncio.sleep(3.0)
-        for _ in range(ROUNDS):
-            LateRunner.round = Round(runners, trouble)
-            await play(record, entries, LateRunner.round)
-            late += LateRunner.round.late_runner is not None
-            twice += LateRunner.round.twice
-        record.write("check", rounds=ROUNDS, orders_late=late, tasks_that_ran_twice_at_once=len(twice))
-        if trouble and late == 0:
+        await asyncio.sleep(2.0)
+        traffic = [asyncio.create_task(send_jobs(record, entry, posts)) for entry in entries]
+        await asyncio.sleep(4.0)
+        if trouble:
+            system.store.cut.update(entries)
+            record.write("cut_begins", machines=",".join(entry.name for entry in entries))
+            healing = asyncio.create_task(heal(system, record))
+        await asyncio.sleep(0.2)
+        before = sum(zone == ZONE for _, zone, _ in starts)
+        system.store.put(f"op/evacuate/{ZONE}", b"{}")
+        acknowledged = record.now()
+        record.write("operator_writes", key=f"op/evacuate/{ZONE}")
+        await asyncio.sleep(EVACUATE_S + 5.0)
+        for task in traffic:
+            task.cancel()
+        late = [(at, task) for at, zone, task in starts if zone == ZONE and at > acknowledged + EVACUATE_S]
+        last = max((at for at, zone, _ in starts if zone == ZONE), default=0) - acknowledged
+        served = sum(post.done() and post.result()[0] == 200 for post in posts)
+        record.write("check", jobs=len(posts), served=served, starts_in_zone_before=before,
+                     starts_in_zone_over_5_s_after_the_ack=len(late), last_start_after_s=round(last, 3))
+        if before == 0 or served == 0:
             return 2
-        return 1 if twice else 0
+        return 1 if late else 0
     finally:
+        for post in posts:
+            post.cancel()
         system.close()
 
 
