--- a/review/lib-2/signals.py
+++ b/review/lib-2/signals.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import pathlib
-import shutil
 import signal
 import sys
 
@@ -59,7 +58,6 @@
         for post in list(posts):
             post.cancel()
         system.close()
-        shutil.rmtree(system.folder)
 
 
 sys.exit(asyncio.run(run(Record(pathlib.Path("/dev/null")))))
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -11,6 +11,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -495,6 +496,7 @@
     def close(self):
         for machine in self.machines:
             machine.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_net():
