Report a start in doubt of a task that is done to all entries

Cause: dispatch_agent::reportEnd() named a start in doubt for all outcomes but done. A best-effort job that is submitted again runs from the start, so a task that is done may run again, and no entry knew of the start. It was kept in the agent's session only.

Ruled out: that the session forgets the start (a failed run of the same task names it), and that an entry drops its record when the task is done (records only expire, or end when another target is cleared).

Change: the end names the start whatever the outcome, and it is recorded for all entries. These bind the task to the target as before, so the agent calls the new lifetime before the task starts there.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -182,8 +182,7 @@
         time_point known;        ///< when the crash became known
     };
 
-    /// A task whose run is to end, or has ended other than as done, while a start of it is in
-    /// doubt.
+    /// A task whose run is to end, or has ended, while a start of it is in doubt.
     struct doubt_record
     {
         batch_task task;
--- a/model/run_lease.pml
+++ b/model/run_lease.pml
@@ -23,8 +23,9 @@
  * - So does the successor of agent 1 when the newest report has not shown the start as settled.
  * - The entry does not repeat a run in doubt because the agent is silent. The agent does not take it
  *   for lost because its lease has expired.
- * - When agent 1 stops or ends a run while a start is in doubt, it tells all other entries, and the
- *   entry that receives the resubmitted job is bound if it has been told before.
+ * - When agent 1 stops a run, or the run ends with any outcome, while a start is in doubt, the agent
+ *   tells all other entries, and the entry that receives the resubmitted job is bound if it has been
+ *   told before.
  * A bound task starts on target 1 when the agent has called the current lifetime under a raised
  * fence and has no run of the task, and all unknown runs are stopped.
  *
@@ -399,6 +400,18 @@
     endInDoubt = endInDoubt || startInDoubt;
 }
 
+/* The run has succeeded. Entry 1 does not repeat it, but its task runs again when the caller submits
+ * the job again, so a start that is in doubt remains in doubt. */
+inline runDone() {
+    executing1 = false;
+    startListed();
+    runHeld = false;
+    stopDue = false;
+#ifdef MUTANT_FORGET_DOUBT_AT_DONE /* mutant: the agent reports no start of a task that is done */
+    startInDoubt = false;
+#endif
+}
+
 inline raiseFence() {
     if
     :: agentFence < 4 -> agentFence++; /* only the first start call has no reply, and its fence is 1 */
@@ -497,6 +510,9 @@
         executing1 = false; /* the run has failed, and a listing shows its end */
         startListed();
         endRun();
+    :: agentAlive && !agentFrozen && cleared && runHeld && executing1 &&
+            (targetPhase == FIRST_LIFETIME || targetPhase == NEXT_LIFETIME) ->
+        runDone(); /* and a listing shows its end */
     :: agentAlive && !agentFrozen && cleared && boundOrder && !runHeld && !stopDue &&
             (targetPhase == FIRST_LIFETIME || targetPhase == NEXT_LIFETIME) ->
         startBound();
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -515,12 +515,11 @@
     end.set_run_ms(toMilliseconds(runTime));
     end.set_crash_possible(crashPossible);
     end.set_order(order);
-    if (outcome != wire::RUN_OUTCOME_DONE) {
-        if (const auto start = startInDoubt(ref.task)) {
-            toWire(*start, m_member.now(), *end.mutable_start_in_doubt());
-        }
-        recordDoubt(ref.task);
+    // A task that is done may run again when the caller submits its job again.
+    if (const auto start = startInDoubt(ref.task)) {
+        toWire(*start, m_member.now(), *end.mutable_start_in_doubt());
     }
+    recordDoubt(ref.task);
     entry.unacked.push_back(std::move(end));
     ++entry.unsent;
     m_member.log("run_ended", {{"run", toText(ref)},
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -587,6 +587,45 @@
     }
 }
 
+// Guards against a task that is done and executes twice at once when its job is submitted again to
+// another entry: a start that was voided before may still be executed by a later lifetime.
+TEST_CASE("all entries learn of a start in doubt of a task that is done")
+{
+    dispatch_agent_fixture fixture;
+    fixture.entries.push_back(incarnation_id{4});
+    fixture.runTime = 200ms;
+    fixture.orderWithVoidedStart(0);
+    fixture.pass(500ms);
+    REQUIRE(fixture.ends.contains(0));
+    const auto &end = fixture.ends.at(0);
+    CHECK(end.outcome() == wire::RUN_OUTCOME_DONE);
+    CHECK(end.start_in_doubt().target() == "i-1");
+    CHECK(end.start_in_doubt().remaining_ms() > 58'000);
+    REQUIRE(fixture.doubts.contains(incarnation_id{4}));
+    const auto task = fixture.doubts.at(incarnation_id{4}).front();
+    CHECK(task.job() == 7);
+    CHECK(task.index() == 0);
+    CHECK(task.start().target() == "i-1");
+
+    // An entry that has started after the end learns of it, too.
+    fixture.entries.push_back(incarnation_id{5});
+    fixture.pass(1s);
+    CHECK(fixture.doubts.contains(incarnation_id{5}));
+}
+
+// Guards against tasks that are bound to a target without need.
+TEST_CASE("no start is in doubt after a task whose starts were answered is done")
+{
+    dispatch_agent_fixture fixture;
+    fixture.runTime = 200ms;
+    fixture.order(0, {1'000, 64, 0});
+    fixture.pass(500ms);
+    REQUIRE(fixture.ends.contains(0));
+    CHECK(fixture.ends.at(0).outcome() == wire::RUN_OUTCOME_DONE);
+    CHECK_FALSE(fixture.ends.at(0).has_start_in_doubt());
+    CHECK(fixture.doubts.empty());
+}
+
 // Guards against a task that is started on another target, after its run has ended, while a later
 // lifetime of the first target may execute an earlier start.
 TEST_CASE("the end of a run names a start of its task that is in doubt")
