Tell entries of all starts in doubt that an agent has recorded

An agent kept the newest 256 starts in doubt, as many as one report contains.

The agent keeps 2,048 of them. A report still contains 256 at most, now the oldest that the entry has not acknowledged, so the others follow.

--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bamboohead {
 
@@ -20,8 +21,11 @@
 /// Time for which the crashes of the target are reported to entries; as long as entries keep them.
 constexpr duration crashRetention = std::chrono::seconds{60};
 constexpr std::size_t maxCrashRecords = 64;
-/// Tasks with a start in doubt that are reported to entries: about 10 KB of a full report.
-constexpr std::size_t maxDoubtRecords = 256;
+/// Tasks with a start in doubt that are kept for reports to entries. An eighth of those that an
+/// entry keeps, see start_ledger_limits.
+constexpr std::size_t maxDoubtRecords = 2'048;
+/// Those in one full report: about 10 KB. The next ones follow when these are acknowledged.
+constexpr std::size_t maxDoubtsPerReport = 256;
 /// Time for which a new one is repeated in each report at the busy interval. Longer than a caller
 /// waits before it submits its job to another entry.
 constexpr duration newDoubtPeriod = std::chrono::seconds{2};
@@ -732,6 +736,9 @@
             }
         }
         for (const auto &record : m_doubts) {
+            if (std::cmp_greater_equal(report.in_doubt_size(), maxDoubtsPerReport)) {
+                break;
+            }
             if (record.number > state.doubtsSeen) {
                 auto &added = *report.add_in_doubt();
                 added.set_job(static_cast<std::uint64_t>(record.task.job));
