Return the queued runs of a zone that is taken out of service

Callers waited: runs that were queued at an agent when its zone was taken out of service stayed there until their time limit, and their jobs ended late or failed.

Cause: dispatch_agent::startQueued() returned without a start, and nothing else looked at the queue. New orders were refused already.

Change: the agent refuses its queued runs with zone_out, as it does when it stops, and the entries order them elsewhere. Started runs go on.

"queued runs are returned when the zone is taken out of service" failed before.

--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -231,6 +231,8 @@
     void startQueued();
     /// Whether the agent knows that its zone is still in service, or that nobody can take it out.
     [[nodiscard]] bool mayStart();
+    /// Refuses all queued runs, so that their entries order them elsewhere.
+    void refuseQueuedRuns(error_kind reason);
     /// Refuses queued runs that the target cannot execute: it may have restarted with less
     /// capacity, as another kind or under another id since they were accepted.
     void refuseUnfitRuns();
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -280,6 +280,17 @@
            (requirements.target.empty() || requirements.target == target.lifetime.id);
 }
 
+void dispatch_agent::refuseQueuedRuns(error_kind reason)
+{
+    std::vector<run_ref> waiting;
+    for (const auto &[key, ref] : m_queue) {
+        waiting.push_back(ref);
+    }
+    for (const auto &ref : waiting) {
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, reason, {});
+    }
+}
+
 void dispatch_agent::refuseUnfitRuns()
 {
     std::vector<std::pair<run_ref, error_kind>> unfit;
@@ -322,8 +333,11 @@
 
 void dispatch_agent::startQueued()
 {
-    if (!m_session.ready() || m_member.config().zoneOutOfService(m_member.self().zone) ||
-        !mayStart()) {
+    if (m_member.config().zoneOutOfService(m_member.self().zone)) {
+        refuseQueuedRuns(error_kind::zone_out);
+        return;
+    }
+    if (!m_session.ready() || !mayStart()) {
         return;
     }
     refuseUnfitRuns();
@@ -689,13 +703,7 @@
     }
     m_stopSince = m_member.now();
     m_member.log("draining", {{"runs", std::to_string(m_runs.size())}});
-    std::vector<run_ref> waiting;
-    for (const auto &[key, ref] : m_queue) {
-        waiting.push_back(ref);
-    }
-    for (const auto &ref : waiting) {
-        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::target_leaving, {});
-    }
+    refuseQueuedRuns(error_kind::target_leaving);
     for (auto &[incarnation, entry] : m_entries) {
         entry.lastFullReport = {};
     }
--- a/tests/dispatch_agent_test.cpp
+++ b/tests/dispatch_agent_test.cpp
@@ -849,6 +849,30 @@
     CHECK(fixture.started == std::vector<std::uint32_t>{0, 3});
 }
 
+// Guards against runs that wait at an agent until their time limit, since its zone has been taken
+// out of service.
+TEST_CASE("queued runs are returned when the zone is taken out of service")
+{
+    dispatch_agent_fixture fixture;
+    fixture.order(0, capacity);
+    fixture.order(1, {1'000, 64, 0});
+    fixture.order(2, {1'000, 64, 0});
+    REQUIRE(fixture.started.size() == 1);
+    desired_state state;
+    state.revision = 2;
+    state.version = 1;
+    state.services = {"quotes"};
+    state.zonesOut = {"graz"};
+    fixture.agent.handleConfig(state);
+    fixture.pass(20ms);
+    CHECK_FALSE(fixture.ends.contains(0));
+    for (const std::uint32_t index : {1, 2}) {
+        REQUIRE(fixture.ends.contains(index));
+        CHECK(fixture.ends.at(index).outcome() == wire::RUN_OUTCOME_REFUSED);
+        CHECK(fixture.ends.at(index).error() == toWire(error_kind::zone_out));
+    }
+}
+
 // Guards against a task that is started elsewhere because of a report of a target that has never
 // answered: it may be of another writer, or delayed.
 TEST_CASE("a run in doubt is not lost because another target was reported that does not answer")
--- a/tests/dispatch_evacuation_test.cpp
+++ b/tests/dispatch_evacuation_test.cpp
@@ -265,6 +265,7 @@
         scenario.fleet.runFor(6s);
         scenario.pass(3s);
         scenario.check();
+        CHECK(scenario.served(3s) > 0.99);
     }
 }
 
