Renew the lease of a run soon after the first order to an idle agent

Cause: the order to an idle agent echoes the stamp of its last idle report, which is up to 500 ms old. The agent stops the run 600 ms after that stamp, and the entry sends the next heartbeat 150 ms after the order, so an echo older than 450 ms led to a stop. Ruled out: lost or late messages (there are none in the simulation).

Change: while an agent has runs and the newest message to it has an echo that is 300 ms old, the entry sends a message as soon as it has a newer stamp. The agent reports at once when it gets runs, so this takes one round trip.

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -76,7 +76,8 @@
     time_point lastArrival;            ///< when the newest message of the agent was handled
     time_point lastReport;             ///< when the newest report of the agent was received
     time_point lastHeartbeat;          ///< when the newest heartbeat was sent to the agent
-    member_list_times memberList;      ///< lists of entries sent to the agent
+    time_point echoArrival;       ///< `lastArrival` when the newest message was sent to the agent
+    member_list_times memberList; ///< lists of entries sent to the agent
     std::map<run_ref, outstanding_run> outstanding;
     time_point noOrdersUntil; ///< end of the pause after a refused order
     slowness_estimate slownessEstimate;
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -23,6 +23,10 @@
 /// Entries are listed to a process again for this time after they were first listed to it, in case
 /// a message is lost.
 constexpr duration newEntryPeriod = 1s;
+/// Age of the echo in the newest message to an agent with runs from which a newer one is sent as
+/// soon as there is one: dispatch_agent_limits::entryLease, after which the agent stops the runs,
+/// less the intervals of a report and of a heartbeat.
+constexpr duration maxEchoAge = 300ms;
 /// Mean interval between reads of the store by all agents, while no entry reaches the store: half
 /// of the reads that the platform allows the largest fleet.
 constexpr duration stateReadInterval = 1ms;
@@ -355,9 +359,13 @@
         const auto interval = heartbeatInterval(agent);
         const auto unsent = m_unsentOrders.find(incarnation);
         const auto sinceHeartbeat = now - agent.lastHeartbeat;
-        if (sinceHeartbeat < interval && unsent == m_unsentOrders.end()) {
+        // The first order to an agent that had no runs echoes a stamp of an idle report.
+        const bool echoDue = !agent.outstanding.empty() && agent.lastArrival > agent.echoArrival &&
+                             now - agent.echoArrival >= maxEchoAge;
+        if (sinceHeartbeat < interval && unsent == m_unsentOrders.end() && !echoDue) {
             continue;
         }
+        agent.echoArrival = agent.lastArrival;
         // A message that is sent anyway includes the heartbeat if that is due soon.
         const bool due = sinceHeartbeat >= interval / 2;
         wire::Envelope envelope;
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -184,3 +184,28 @@
     }
     CHECK(fleet.violations().empty());
 }
+
+// Guards against runs that the agent stops as those of a silent entry, because the order came with
+// an echo that was almost as old as an idle heartbeat, and the next one was due too late.
+TEST_CASE("load pattern: a single task for an agent without runs is started once")
+{
+    std::size_t starts = 0;
+    std::size_t jobs = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fleet_simulation::options options;
+        options.seed = seed;
+        options.entries = 1;
+        options.agents = 1;
+        options.tickLength = 2ms;
+        fleet_simulation fleet{options};
+        fleet.runFor(3s);
+        for (duration pause = 1s; pause < 1'600ms; pause += 20ms) {
+            fleet.submit(1, 400ms, 3s);
+            fleet.runFor(500ms + pause);
+        }
+        starts += fleet.starts();
+        jobs += fleet.jobs().size();
+        CHECK(fleet.violations().empty());
+    }
+    CHECK(starts == jobs);
+}
