Repeat calls of ZeroMQ that a signal has interrupted

Cause: such calls fail with EINTR, also those that do not wait, and cppzmq throws. Only the poll caught it. Ruled out: other sources of the exception, since transport.cpp is the only user of ZeroMQ.

Change: the calls of sockets are repeated.

--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -62,10 +62,26 @@
     socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(maxMessageBytes));
 }
 
+/// Repeats a call of ZeroMQ that a signal has interrupted. It has had no effect then.
+template <typename Call>
+auto repeatInterrupted(Call call)
+{
+    while (true) {
+        try {
+            return call();
+        } catch (const zmq::error_t &error) {
+            if (error.num() != EINTR) {
+                throw;
+            }
+        }
+    }
+}
+
 bool trySend(zmq::socket_t &socket, const std::string &payload)
 {
     zmq::message_t message{payload.data(), payload.size()};
-    return socket.send(message, zmq::send_flags::dontwait).has_value();
+    return repeatInterrupted(
+            [&] { return socket.send(message, zmq::send_flags::dontwait).has_value(); });
 }
 
 } // namespace
@@ -194,14 +210,16 @@
     /// @throw zmq::error_t When ZeroMQ rejects the endpoint, or no socket can be opened.
     zmq::socket_t connectTo(const std::string &endpoint)
     {
-        zmq::socket_t socket{m_context, zmq::socket_type::dealer};
-        setCommonOptions(socket);
-        socket.set(zmq::sockopt::immediate, true);
-        socket.set(zmq::sockopt::connect_timeout, connectTimeout);
-        socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
-        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
-        socket.connect(endpoint);
-        return socket;
+        return repeatInterrupted([&] {
+            zmq::socket_t socket{m_context, zmq::socket_type::dealer};
+            setCommonOptions(socket);
+            socket.set(zmq::sockopt::immediate, true);
+            socket.set(zmq::sockopt::connect_timeout, connectTimeout);
+            socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
+            socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
+            socket.connect(endpoint);
+            return socket;
+        });
     }
 
     /// Replaces the connection to a peer that has fallen silent: the peer may have restarted, or
@@ -269,13 +287,15 @@
     bool receiveOne(const receiver &receive)
     {
         zmq::message_t identity;
-        if (!m_inbox.recv(identity, zmq::recv_flags::dontwait)) {
+        const auto received = repeatInterrupted(
+                [&] { return m_inbox.recv(identity, zmq::recv_flags::dontwait); });
+        if (!received) {
             return false;
         }
         std::size_t parts = 0;
         zmq::message_t payload;
-        while (m_inbox.get(zmq::sockopt::rcvmore)) {
-            (void)m_inbox.recv(payload, zmq::recv_flags::none);
+        while (repeatInterrupted([&] { return m_inbox.get(zmq::sockopt::rcvmore); })) {
+            (void)repeatInterrupted([&] { return m_inbox.recv(payload, zmq::recv_flags::none); });
             ++parts;
         }
         wire::Envelope envelope;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -2,8 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <csignal>
 #include <memory>
 #include <optional>
+#include <pthread.h>
+#include <thread>
 #include <zmq.hpp>
 
 namespace bamboohead {
@@ -48,8 +52,73 @@
     return condition();
 }
 
+/// Interrupts the calls of the current thread by signals as long as it exists.
+class signal_storm
+{
+public:
+    signal_storm()
+        : m_target{pthread_self()}
+    {
+        struct sigaction ignoring
+        {};
+        ignoring.sa_handler = [](int) {}; // without SA_RESTART
+        sigaction(SIGUSR1, &ignoring, &m_previous);
+        m_sender = std::thread{[this] {
+            while (!m_stop) {
+                pthread_kill(m_target, SIGUSR1);
+                ++m_sent;
+                std::this_thread::sleep_for(std::chrono::microseconds{10});
+            }
+        }};
+    }
+
+    ~signal_storm()
+    {
+        m_stop = true;
+        m_sender.join();
+        sigaction(SIGUSR1, &m_previous, nullptr);
+    }
+
+    signal_storm(const signal_storm &) = delete;
+    signal_storm &operator=(const signal_storm &) = delete;
+
+    [[nodiscard]] std::size_t sent() const { return m_sent; }
+
+private:
+    pthread_t m_target;
+    struct sigaction m_previous
+    {};
+    std::atomic<bool> m_stop = false;
+    std::atomic<std::size_t> m_sent = 0;
+    std::thread m_sender;
+};
+
 } // namespace
 
+// Guards against a process that ends because a signal has interrupted a call of ZeroMQ.
+TEST_CASE("signals neither end nor disturb the exchange of messages")
+{
+    const steady_clock_source clock;
+    transport a{anyPort, clock};
+    transport b{anyPort, clock};
+    constexpr std::size_t signals = 2'000;
+    std::uint64_t messages = 0;
+    std::uint64_t received = 0;
+    const signal_storm storm;
+    while (storm.sent() < signals) {
+        a.send(b.endpoint(), envelopeWith(++messages));
+        a.maintain();
+        b.receiveAll([&](const wire::Envelope &) { ++received; }, 10);
+    }
+    for (int i = 0; i < maxPolls && received + a.counters().dropped < messages; ++i) {
+        a.maintain();
+        b.wait(pollInterval, -1, -1);
+        b.receiveAll([&](const wire::Envelope &) { ++received; }, messages);
+    }
+    CHECK(received + a.counters().dropped == messages);
+    CHECK(received > 0);
+}
+
 // Guards against the loss of first messages while the connection is being established, which would
 // delay discovery until the next discovery message.
 TEST_CASE("messages arrive in both directions, including the first one")
