Count a read of the desired state without a result as failed

An agent that had asked for a read of the store made no other one, and its runs waited for it, until the result came. None came when the list was older than what the agent knew (a server of the store that lags behind), or when the settings no longer named a store.

A list that is older than what is known is reported as failed, and a read without a result fails after 3 s. The time over which reads are spread is at most 30 s, whatever a message says.

--- a/include/bamboohead/dispatch/state_reader.hpp
+++ b/include/bamboohead/dispatch/state_reader.hpp
@@ -31,8 +31,9 @@
     /// `store_follower_limits::watchWait`, by which a proof may be too optimistic, and the time of
     /// a start it stays below the 5 s within which an evacuation has to be in force.
     duration maxStartProofAge = std::chrono::milliseconds{3'500};
-    /// Shortest time over which the reads of the fleet's agents are spread.
+    /// Shortest and longest time over which the reads of the fleet's agents are spread.
     duration minWindow = std::chrono::milliseconds{300};
+    duration maxWindow = std::chrono::seconds{30};
     /// Longest delay of a read for which a task waits.
     duration maxWaitingDelay = std::chrono::seconds{1};
     /// Number of failed reads in a row after which tasks start without a proof: a store that
@@ -44,6 +45,8 @@
     duration retryDelay = std::chrono::seconds{2};
     /// Time after the next read is due for which the failures count: the timeout of a read.
     duration maxReadTime = std::chrono::milliseconds{500};
+    /// Time after which a read without a result has failed; longer than a list of several pages.
+    duration resultTimeout = std::chrono::seconds{3};
 };
 
 /// @brief Decides when a process that gets the desired state from its peers reads the store itself.
@@ -57,9 +60,11 @@
 public:
     state_reader(state_reader_limits limits, std::uint64_t seed);
 
-    /// @brief Time over which the fleet's reads are spread; the limit `minWindow` if that is
-    /// longer.
-    void setWindow(duration window) { m_window = window; }
+    /// @brief Sets the time over which the fleet's reads are spread, within the limits.
+    void setWindow(duration window)
+    {
+        m_window = std::clamp(window, m_limits.minWindow, m_limits.maxWindow);
+    }
 
     /// @brief Whether a read is to be made now. To be called at each tick.
     /// @param proofAge Age of the proof; nothing if there is none.
@@ -72,15 +77,14 @@
 
 private:
     [[nodiscard]] duration randomDelay(duration longest);
-    [[nodiscard]] duration window() const { return std::max(m_window, m_limits.minWindow); }
 
     state_reader_limits m_limits;
     std::mt19937_64 m_random;
-    duration m_window{};
+    duration m_window;
     std::optional<time_point> m_nextRead;
-    bool m_reading = false;
-    bool m_waiting = false;       ///< a task has waited for the read at `m_nextRead`
-    std::uint32_t m_failures = 0; ///< in a row, since the proof was last recent enough
+    std::optional<time_point> m_readSince; ///< start of the read without a result
+    bool m_waiting = false;                ///< a task has waited for the read at `m_nextRead`
+    std::uint32_t m_failures = 0;          ///< in a row, since the proof was last recent enough
     time_point m_lastFailure;
 };
 
--- a/include/bamboohead/dispatch/store_follower.hpp
+++ b/include/bamboohead/dispatch/store_follower.hpp
@@ -209,7 +209,7 @@
     /// @brief Sets whether the process is connected to an entry. While it is not, the members are
     ///        polled more often.
     void setConnected(bool connected) { m_members.pollOften(!connected); }
-    /// @brief Reads the configuration once, with the options `on_request`.
+    /// @brief Reads the configuration once, in the mode `on_request`.
     void requestConfiguration() { m_configuration.request(); }
 
     /// @brief Removes and returns the collected calls or log events.
@@ -222,9 +222,8 @@
     /// @return Keys and values with the revision up to which they are complete, else nothing.
     [[nodiscard]] std::optional<std::pair<std::map<std::string, std::string>, std::uint64_t>>
     takeConfiguration();
-    /// @brief Returns the newest proof that the configuration was current, if there is one since
-    /// the
-    ///        last call. It refers to the configuration that takeConfiguration() has returned.
+    /// @brief Returns the newest proof since the last call that the configuration was current, if
+    ///        any. It refers to the configuration that takeConfiguration() has returned.
     [[nodiscard]] std::optional<store_proof> takeProof();
     /// @brief Whether a requested read of the configuration has failed since the last call.
     [[nodiscard]] bool takeRequestFailure() { return m_configuration.takeRequestFailure(); }
--- a/src/dispatch/store_follower.cpp
+++ b/src/dispatch/store_follower.cpp
@@ -136,6 +136,7 @@
     if (m_mode != follow_mode::poll && m_listRevision >= m_revision) {
         m_proof = {m_listRevision, m_listBegin, true};
     }
+    m_requestFailed = m_mode == follow_mode::on_request && m_listRevision < m_revision;
     m_revision = std::max(m_revision, m_listRevision);
     m_listing = m_mode != follow_mode::watch;
     m_requested = false;
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -469,6 +469,13 @@
     CHECK_FALSE(fixture.follower.takeRequestFailure());
     fixture.pass(60s);
     CHECK_FALSE(fixture.nextList(store_area::configuration));
+    // A list of a server of the store that lags behind proves nothing.
+    fixture.follower.requestConfiguration();
+    fixture.collectCalls();
+    fixture.reply(fixture.nextList(store_area::configuration)->header.id, store_status::ok,
+                  {{"op/config", "1", 5, false}}, 10);
+    CHECK_FALSE(fixture.follower.takeProof());
+    CHECK(fixture.follower.takeRequestFailure());
     // A failure does not delay the next request.
     fixture.follower.requestConfiguration();
     fixture.collectCalls();
