Bound the memory of requests that clients do not complete

Cause: each request was bounded (256 KiB of body, 16 KiB of header), but not the sum of the unfinished ones, 3,000 of which an entry holds on a machine with 160 MB. The parser keeps trailers and chunk extensions without a limit; the library of the metrics and the product's own interface bounds neither the length of a line, nor a chunked body, nor the connections that wait for a thread. A connection also kept a buffer of 16 KB after its request was parsed.

Change: request_budget bounds the memory of all unfinished requests of a server (/requests/memory_kb) and chooses those that end by memory times age; a request has a time limit from its first byte to its last one (/requests/timeout_ms). Header lines, chunk headers and trailers over 16 KiB are answered 413. Bytes behind an unanswered request stay with the operating system. At the limit of connections, stalled ones make room. guarded_http_server does the same for cpp-httplib through its own stream, and bounds the queue of connections. The tasks of all open jobs are bounded as well.

--- a/include/bamboohead/async_http_server.hpp
+++ b/include/bamboohead/async_http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboohead/request_limits.hpp"
 #include "bamboohead/types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -24,14 +25,24 @@
 struct async_http_limits
 {
     std::uint64_t maxRequestBodyBytes = 262'144;
+    /// Also the limit of the trailers, and of a chunk header with its extensions.
     std::uint32_t maxRequestHeaderBytes = 16'384;
+    /// Memory that the requests that were not received as a whole hold together. When it is
+    /// exhausted, request_budget chooses those that are answered 503 and closed.
+    std::size_t maxUnfinishedBytes = defaultUnfinishedBytes;
+    /// A request that was not received as a whole this long after its first byte is answered 408,
+    /// and its connection is closed.
+    duration receiveTimeout = defaultReceiveTimeout;
     /// A connection without an unanswered request is closed after it made no progress for this
     /// long.
     duration idleTimeout = std::chrono::seconds{60};
     /// How long a stopping server waits for a request on an open connection, and any server for the
     /// peer to close its connection after the last response.
     duration lingerTimeout = std::chrono::milliseconds{500};
-    /// Requests on further connections are answered 503 without being delivered.
+    /// Requests on further connections are answered 503 without being delivered, and when those
+    /// exceed a tenth of this number, and 10, further connections are closed. To make room, the
+    /// connections that have waited longest for the rest of a request, or for a new one, are closed
+    /// first.
     std::size_t maxConnections = 3'000;
 };
 
@@ -52,6 +63,11 @@
     std::uint64_t cutSending = 0;
     /// Connections closed far above `maxConnections`, or since their end cannot be watched.
     std::uint64_t overLimit = 0;
+    /// Requests that were not received as a whole and were answered 503 to free memory.
+    std::uint64_t overBudget = 0;
+    std::uint64_t receiveTimeouts = 0; ///< requests answered 408, see `receiveTimeout`
+    /// Connections closed to make room for others, see `maxConnections`.
+    std::uint64_t displaced = 0;
 };
 
 /// @brief HTTP/1.1 server on the thread of an io_context.
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -79,7 +79,10 @@
     std::uint32_t immediateOrders = 4;
     /// Multiple of the response-time objective after which an answer is of no use to its caller.
     int maxObjectiveFactor = 3;
-    std::size_t maxJobs = 20'000;                        ///< open jobs; further ones are refused
+    std::size_t maxJobs = 20'000; ///< open jobs; further ones are refused
+    /// Tasks of open jobs; jobs with more are refused. Their records take about 40 bytes each, so
+    /// this is 16 MB. The connections of an entry allow 3,000 jobs with 133 tasks each.
+    std::size_t maxOpenTasks = 400'000;
     duration tickPeriod = std::chrono::milliseconds{20}; ///< scheduled time between two ticks
 };
 
@@ -265,6 +268,7 @@
     void markPredecessorRunsLost(const agent_view &successor, const std::string &clearedTarget,
                                  time_point echo);
     void removeSilentAgents();
+    [[nodiscard]] static std::size_t taskCount(const batch_submission &job);
     [[nodiscard]] error_kind refusalReason(const dispatch_route &route,
                                            const batch_submission &job) const;
     void refuse(caller_request request, batch_job_id id, error_kind why, duration retryAfter);
@@ -339,6 +343,7 @@
     std::optional<time_point> m_shutdownCompleted; ///< when `shutdown_complete` was emitted
     /// Jobs that may have run and were open at the drain limit.
     std::set<batch_job_id> m_interrupted;
+    std::size_t m_openTasks = 0; ///< tasks of the jobs in `m_jobs`
     dispatch_entry_counters m_counters;
 };
 
--- a/include/bamboohead/http_server.hpp
+++ b/include/bamboohead/http_server.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "bamboohead/guarded_http_server.hpp"
 #include "bamboohead/metrics.hpp"
 #include "bamboohead/settings.hpp"
 
-#include <httplib.h>
-
 #include <atomic>
 #include <functional>
 #include <optional>
@@ -22,12 +21,14 @@
     ///        not answer; `/v1/state` is answered 503 then.
     using state_source = std::function<std::optional<std::string>()>;
 
-    /// @param threads Number of threads, thus of connections that are served at the same time.
+    /// @param requests Limits of the requests that were not received as a whole.
+    /// @param threads Number of threads, thus of connections that are served at the same time. As
+    ///        many again, and 64 at least, may wait for a thread; further ones are closed.
     /// @param metrics Must outlive the server, as must `draining`.
     /// @param draining While it is true, `/healthz` is answered 503.
-    http_server(const http_settings &settings, std::uint32_t threads,
-                const process_metrics &metrics, const std::atomic<bool> &draining,
-                state_source state);
+    http_server(const http_settings &settings, const request_settings &requests,
+                std::uint32_t threads, const process_metrics &metrics,
+                const std::atomic<bool> &draining, state_source state);
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
@@ -51,7 +52,7 @@
 
     http_settings m_settings;
     state_source m_state;
-    httplib::Server m_server;
+    guarded_http_server m_server;
     int m_port = 0;
     std::thread m_thread;
 };
--- a/include/bamboohead/settings.hpp
+++ b/include/bamboohead/settings.hpp
@@ -2,6 +2,7 @@
 
 #include "bamboohead/manifest.hpp"
 #include "bamboohead/placement.hpp"
+#include "bamboohead/request_limits.hpp"
 
 #include <cstdint>
 #include <span>
@@ -32,6 +33,15 @@
     std::uint32_t maxConnections = 0;
 };
 
+/// @brief Limits of the requests that a server has not received as a whole. They apply to each HTTP
+///        server of a process by itself.
+struct request_settings
+{
+    /// Memory that they hold together; see request_budget for those that end when it is exhausted.
+    std::size_t memoryBytes = defaultUnfinishedBytes;
+    duration timeout = defaultReceiveTimeout; ///< from the first byte of a request to its last one
+};
+
 /// @brief Settings of the command entry; dispatch-entry uses only `seed`.
 struct entry_settings
 {
@@ -75,6 +85,7 @@
     std::vector<std::string> seeds; ///< ZeroMQ endpoints of entries to contact at start
     log_settings log;
     http_settings http;
+    request_settings requests;
     entry_settings entry;
     agent_settings agent;
     dispatch_settings dispatch;
--- a/src/adapters/agent_process.cpp
+++ b/src/adapters/agent_process.cpp
@@ -57,7 +57,8 @@
     std::atomic<bool> draining{false};
     target_client target{[&inputs](task_end end) { inputs.push(std::move(end)); }};
     target.setAddress(settings.agent.target);
-    http_server server{settings.http, httpThreads, metrics, draining, stateSource(inputs)};
+    http_server server{settings.http, settings.requests, httpThreads,
+                       metrics,       draining,          stateSource(inputs)};
     const http_agent routes{server, settings.agent.target, inputs, target};
     server.start();
     logStart(options.self, settings.http);
--- a/src/adapters/async_http_server.cpp
+++ b/src/adapters/async_http_server.cpp
@@ -1,6 +1,7 @@
 #include "bamboohead/async_http_server.hpp"
 
 #include "bamboohead/network_address.hpp"
+#include "bamboohead/request_budget.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,8 +34,18 @@
 
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr auto idleCheckInterval = std::chrono::seconds{1};
-/// Connections over the limit that are answered with 503 at a time; further ones are closed.
-constexpr std::size_t refusingConnections = 300;
+/// Part of the limit of connections up to which further ones are answered with 503.
+constexpr std::size_t refusingDivisor = 10;
+constexpr std::size_t minRefusing = 10; ///< the same as a number, for a low limit
+/// Connections closed at a time to make room for others; all connections are examined for it.
+constexpr std::size_t displacedConnections = 64;
+/// Times without progress after which a connection may be closed to make room for another one: of a
+/// request that was not received as a whole, and of a connection without a request. A regular
+/// caller sends its requests at once.
+constexpr auto displacedRequestAge = std::chrono::seconds{1};
+constexpr auto displacedIdleAge = std::chrono::seconds{5};
+/// Memory that a header field takes in addition to its text.
+constexpr std::size_t fieldOverheadBytes = 96;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50}; ///< after a failed accept
 
 /// Stage of the request that a connection handles.
@@ -46,6 +57,11 @@
     closing,   ///< the last response was sent, and the peer has yet to close the connection
 };
 
+time_point steadyNow()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
 /// @throw std::invalid_argument When the address is malformed.
 tcp::endpoint boundAddress(const std::string &text)
 {
@@ -111,6 +127,7 @@
     implementation(asio::io_context &context, const std::string &address, async_http_limits limits,
                    request_handler onRequest, disconnect_handler onDisconnect)
         : m_limits{limits}
+        , m_budget{limits.maxUnfinishedBytes}
         , m_onRequest{std::move(onRequest)}
         , m_onDisconnect{std::move(onDisconnect)}
         , m_acceptor{context, boundAddress(address)}
@@ -180,6 +197,7 @@
         }
         const auto connection = found->second;
         m_connections.erase(found);
+        m_budget.release(static_cast<std::uint64_t>(exchange));
         connection->close();
         ++m_counters.disconnects;
     }
@@ -274,7 +292,11 @@
         bool peerFinished = false; ///< the end of the peer's sending side was read
         bool peerEnded = false;    ///< it has arrived, possibly behind unread bytes
         bool keepAlive = true;
+        bool paused = false;          ///< bytes are not awaited until the response was sent
+        std::size_t headerMemory = 0; ///< estimated memory of the header fields of the request
         std::chrono::steady_clock::time_point lastActive = std::chrono::steady_clock::now();
+        /// When the first byte of the request that is being received was read.
+        std::chrono::steady_clock::time_point requestBegin;
     };
 
     using connection_ptr = std::shared_ptr<http_connection>;
@@ -324,7 +346,11 @@
 
     void addConnection(tcp::socket socket)
     {
-        if (m_connections.size() >= m_limits.maxConnections + refusingConnections) {
+        if (m_connections.size() >= m_limits.maxConnections) {
+            displaceConnections();
+        }
+        const auto refusing = std::max(minRefusing, m_limits.maxConnections / refusingDivisor);
+        if (m_connections.size() >= m_limits.maxConnections + refusing) {
             ++m_counters.overLimit;
             return; // closes the socket
         }
@@ -347,6 +373,68 @@
         }
     }
 
+    /// Closes the connections that have made no progress for longest.
+    void displaceConnections()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<std::pair<std::chrono::steady_clock::time_point, connection_ptr>> stalled;
+        for (const auto &[exchange, connection] : m_connections) {
+            const bool receiving = connection->stage == request_stage::receiving;
+            const auto since = receiving ? connection->requestBegin : connection->lastActive;
+            if ((receiving && now - since >= displacedRequestAge) ||
+                (connection->stage == request_stage::none && now - since >= displacedIdleAge)) {
+                stalled.emplace_back(since, connection);
+            }
+        }
+        const auto count = std::min(stalled.size(), displacedConnections);
+        const auto last = stalled.begin() + static_cast<std::ptrdiff_t>(count);
+        std::ranges::partial_sort(stalled, last, {}, [](const auto &each) { return each.first; });
+        for (std::size_t index = 0; index < count; ++index) {
+            ++m_counters.displaced;
+            drop(stalled[index].second);
+        }
+    }
+
+    /// Refuses unfinished requests until the budget has room for the bytes of one read.
+    void makeRoomForRead()
+    {
+        for (const auto exchange : m_budget.chooseExcess(readBufferBytes, steadyNow())) {
+            const auto found = m_connections.find(http_exchange{exchange});
+            if (found != m_connections.end()) {
+                ++m_counters.overBudget;
+                http_server_response response{http::status::service_unavailable, 11};
+                response.set(http::field::retry_after, "1");
+                reject(found->second, std::move(response));
+            }
+        }
+    }
+
+    /// Records the memory that an unfinished request, or bytes behind an unanswered one, hold.
+    void updateBudget(http_connection &connection)
+    {
+        if (!m_connections.contains(connection.exchange)) {
+            return; // dropped
+        }
+        const auto request = static_cast<std::uint64_t>(connection.exchange);
+        connection.buffer.shrink_to_fit();
+        auto bytes = connection.buffer.capacity();
+        const bool receiving = connection.stage == request_stage::receiving;
+        if (receiving) {
+            if (connection.headerMemory == 0 && connection.parser->is_header_done()) {
+                for (const auto &field : connection.parser->get()) {
+                    connection.headerMemory +=
+                            field.name_string().size() + field.value().size() + fieldOverheadBytes;
+                }
+            }
+            bytes += connection.headerMemory + connection.parser->get().body().capacity();
+        }
+        if (bytes == 0) {
+            m_budget.release(request);
+        } else {
+            m_budget.hold(request, bytes, receiving, steadyNow());
+        }
+    }
+
     /// Records the ends of connections that have arrived.
     /// @return The connections that have ended since the previous call.
     std::vector<connection_ptr> noteDisconnects()
@@ -365,6 +453,7 @@
         connection.parser->eager(true);
         connection.parser->body_limit(m_limits.maxRequestBodyBytes);
         connection.parser->header_limit(m_limits.maxRequestHeaderBytes);
+        connection.headerMemory = 0;
     }
 
     /// Waits for bytes at all times, so that a disconnection is detected while the connection's
@@ -381,9 +470,10 @@
     }
 
     /// Reads and handles the bytes that have arrived.
-    /// @return Whether the connection stays open for reading.
+    /// @return Whether further bytes are to be awaited.
     bool read(const connection_ptr &from)
     {
+        makeRoomForRead();
         error_code error;
         const auto bytes = from->socket.read_some(from->buffer.prepare(readBufferBytes), error);
         if (error == asio::error::would_block) {
@@ -401,35 +491,48 @@
         if (from->stage != request_stage::closing) {
             from->lastActive = std::chrono::steady_clock::now();
         }
-        return parse(from);
+        parse(from);
+        updateBudget(*from);
+        if (from->handlesRequest() &&
+            from->buffer.size() > m_limits.maxRequestBodyBytes + m_limits.maxRequestHeaderBytes) {
+            return drop(from);
+        }
+        // A pipelined request stays in the buffer until the previous one is answered. Further bytes
+        // stay with the operating system, which still reports the end of the connection.
+        from->paused = from->handlesRequest() &&
+                       (from->buffer.size() >= readBufferBytes || m_budget.halfUsed());
+        return !from->paused;
     }
 
     /// Parses the buffered bytes and delivers the request when it is complete.
-    /// @return Whether the connection stays open for reading.
-    bool parse(const connection_ptr &from)
+    void parse(const connection_ptr &from)
     {
         if (from->stage == request_stage::closing) {
             from->buffer.clear();
-            return true;
+            return;
         }
         if (from->handlesRequest()) {
-            // A pipelined request stays in the buffer until the previous one is answered. A buffer
-            // that exceeds the size limits of a request closes the connection.
-            return from->buffer.size() <=
-                           m_limits.maxRequestBodyBytes + m_limits.maxRequestHeaderBytes ||
-                   drop(from);
+            return;
         }
         while (from->buffer.size() > 0 && !from->parser->is_done()) {
             error_code error;
             const auto used = from->parser->put(from->buffer.data(), error);
             from->buffer.consume(used);
+            if (from->stage == request_stage::none) {
+                from->requestBegin = std::chrono::steady_clock::now();
+            }
             from->stage = request_stage::receiving;
             if (error == http::error::need_more) {
-                return true;
+                // The parser consumes body bytes at once. What it leaves is a part of the header,
+                // of a chunk header or of the trailers.
+                if (from->buffer.size() > m_limits.maxRequestHeaderBytes) {
+                    rejectMalformed(from, http::error::header_limit);
+                }
+                return;
             }
             if (error) {
                 rejectMalformed(from, error);
-                return true;
+                return;
             }
             if (used == 0) {
                 break;
@@ -438,7 +541,6 @@
         if (from->parser->is_done()) {
             deliverRequest(from);
         }
-        return true;
     }
 
     void deliverRequest(const connection_ptr &from)
@@ -457,6 +559,7 @@
     void assignNewExchange(const connection_ptr &connection)
     {
         m_connections.erase(connection->exchange);
+        m_budget.release(static_cast<std::uint64_t>(connection->exchange));
         connection->exchange = http_exchange{++m_lastExchange};
         m_connections.emplace(connection->exchange, connection);
     }
@@ -475,7 +578,9 @@
         ++m_counters.requests;
         from->keepAlive = false;
         from->parser.reset();
+        from->buffer.clear();
         from->stage = request_stage::waiting;
+        updateBudget(*from);
         respond(from->exchange, std::move(response));
     }
 
@@ -500,21 +605,35 @@
             connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
             connection->stage = request_stage::closing;
             connection->buffer.clear();
+            updateBudget(*connection);
+            resume(connection);
             return;
         }
         connection->stage = request_stage::none;
         resetParser(*connection);
         parse(connection);
+        updateBudget(*connection);
+        if (!connection->handlesRequest()) {
+            resume(connection);
+        }
         if (connection->peerFinished && !connection->handlesRequest()) {
             drop(connection);
         }
     }
 
+    void resume(const connection_ptr &connection)
+    {
+        if (std::exchange(connection->paused, false)) {
+            awaitBytes(connection);
+        }
+    }
+
     /// Closes a connection and reports its unanswered request, if any, as disconnected.
-    /// @return Always false, for use as the result of parse().
+    /// @return Always false, for use as the result of read().
     bool drop(const connection_ptr &connection)
     {
         if (m_connections.erase(connection->exchange) > 0) {
+            m_budget.release(static_cast<std::uint64_t>(connection->exchange));
             connection->close();
             if (connection->stage == request_stage::waiting) {
                 ++m_counters.disconnects;
@@ -535,6 +654,7 @@
             }
             const auto now = std::chrono::steady_clock::now();
             const auto &limits = self->m_limits;
+            self->rejectSlowRequests(now - limits.receiveTimeout);
             self->closeWhere([now, &limits](const http_connection &connection) {
                 const auto limit = connection.stage == request_stage::closing ? limits.lingerTimeout
                                                                               : limits.idleTimeout;
@@ -545,8 +665,19 @@
         });
     }
 
+    /// Rejects the requests whose first byte is older than `begin` and that are not complete.
+    void rejectSlowRequests(std::chrono::steady_clock::time_point begin)
+    {
+        for (const auto &connection : connectionsWhere([begin](const http_connection &each) {
+                 return each.stage == request_stage::receiving && each.requestBegin < begin;
+             })) {
+            ++m_counters.receiveTimeouts;
+            reject(connection, {http::status::request_timeout, 11});
+        }
+    }
+
     template <typename Predicate>
-    void closeWhere(Predicate predicate)
+    std::vector<connection_ptr> connectionsWhere(Predicate predicate) const
     {
         std::vector<connection_ptr> chosen;
         for (const auto &[exchange, connection] : m_connections) {
@@ -554,13 +685,20 @@
                 chosen.push_back(connection);
             }
         }
-        for (const auto &connection : chosen) {
+        return chosen;
+    }
+
+    template <typename Predicate>
+    void closeWhere(Predicate predicate)
+    {
+        for (const auto &connection : connectionsWhere(predicate)) {
             m_counters.cutReceiving += connection->stage == request_stage::receiving ? 1 : 0;
             drop(connection);
         }
     }
 
     async_http_limits m_limits;
+    request_budget m_budget; ///< by exchange
     request_handler m_onRequest;
     disconnect_handler m_onDisconnect;
     tcp::acceptor m_acceptor;
--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -25,18 +25,24 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+/// Limits of the server for the reports of the target, which is its only client.
+async_http_limits reportLimits(const request_settings &requests)
+{
+    auto limits = requestLimits(requests);
+    limits.maxConnections = 200;
+    return limits;
+}
+
 /// HTTP interface to the target on the same machine: receives its reports and sends calls to it.
 class target_interface
 {
 public:
     target_interface(dispatch_loop<dispatch_agent> &loop, dispatch_agent &core,
-                     const dispatch_settings &settings)
+                     const process_settings &settings)
         : m_loop{loop}
         , m_core{core}
         , m_reportServer{
-                  loop.context(),
-                  settings.targets,
-                  {},
+                  loop.context(), settings.dispatch.targets, reportLimits(settings.requests),
                   [this](auto exchange, const auto &request) { handleRequest(exchange, request); },
                   [](auto) {}}
     {}
@@ -97,7 +103,7 @@
     options.seed = randomNumber();
     dispatch_agent core{options, clock};
     dispatch_loop<dispatch_agent> loop{settings, settingsFile, clock, core, {}};
-    target_interface target{loop, core, settings.dispatch};
+    target_interface target{loop, core, settings};
     loop.onAction([&](dispatch_action &next) {
         if (const auto *const call = std::get_if<target_call>(&next)) {
             target.call(*call);
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -11,24 +11,31 @@
 
 namespace http = boost::beast::http;
 
+/// Limits of the server for readiness checks, which one client of the platform sends, without a
+/// body.
+async_http_limits readinessLimits(const request_settings &requests)
+{
+    auto limits = requestLimits(requests);
+    limits.maxRequestBodyBytes = 1'024;
+    limits.maxConnections = 100;
+    return limits;
+}
+
 /// HTTP interface for callers: maps a request to its route and job and passes it to the core. Also
 /// serves the readiness check of load balancers.
 class caller_interface
 {
 public:
     caller_interface(dispatch_loop<dispatch_entry> &loop, dispatch_entry &core,
-                     const dispatch_settings &settings)
+                     const process_settings &settings)
         : m_loop{loop}
         , m_core{core}
         , m_callerServer{
-                  loop.context(),
-                  settings.callers,
-                  {},
+                  loop.context(), settings.dispatch.callers, requestLimits(settings.requests),
                   [this](auto exchange, const auto &request) { handleRequest(exchange, request); },
                   [this](auto exchange) { handleDisconnect(exchange); }}
-        , m_readinessServer{loop.context(),
-                            settings.readiness,
-                            {},
+        , m_readinessServer{loop.context(), settings.dispatch.readiness,
+                            readinessLimits(settings.requests),
                             [this](auto exchange, const auto &request) {
                                 handleReadinessCheck(exchange, request);
                             },
@@ -65,6 +72,9 @@
                  {"cut_receiving", std::to_string(counters.cutReceiving)},
                  {"cut_sending", std::to_string(counters.cutSending)},
                  {"over_limit", std::to_string(counters.overLimit)},
+                 {"over_budget", std::to_string(counters.overBudget)},
+                 {"receive_timeouts", std::to_string(counters.receiveTimeouts)},
+                 {"displaced", std::to_string(counters.displaced)},
                  {"open", std::to_string(m_callerServer.connections())}});
     }
 
@@ -244,7 +254,7 @@
         , options{makeOptions(settings)}
         , core{options, clock}
         , loop{settings, settingsFile, clock, core, makeStoreOptions(options.self)}
-        , callers{loop, core, settings.dispatch}
+        , callers{loop, core, settings}
     {
         loop.onAction([this](dispatch_action &next) {
             if (const auto *const reply = std::get_if<job_reply>(&next)) {
--- a/src/adapters/dispatch_loop.hpp
+++ b/src/adapters/dispatch_loop.hpp
@@ -92,8 +92,8 @@
         , m_tickTimer{m_context}
         , m_passTimer{m_context}
         , m_housekeepingTimer{m_context}
-        , m_adminServer{settings.http, adminServerThreads, m_metrics, m_draining,
-                        [this] { return dump(); }}
+        , m_adminServer{settings.http, settings.requests, adminServerThreads,
+                        m_metrics,     m_draining,        [this] { return dump(); }}
     {}
 
     ~dispatch_loop() { m_messageDescriptor.release(); }
--- a/src/adapters/entry_process.cpp
+++ b/src/adapters/entry_process.cpp
@@ -100,8 +100,8 @@
     input_queue<entry_input> inputs;
     caller_table callers;
     std::atomic<bool> draining{false};
-    http_server server{settings.http, settings.http.maxConnections, metrics, draining,
-                       stateSource(inputs)};
+    http_server server{settings.http, settings.requests, settings.http.maxConnections,
+                       metrics,       draining,          stateSource(inputs)};
     const http_entry routes{server, settings.http.maxConnections, inputs, callers, metrics};
     server.start();
     const manifest_subscription manifests{settings.entry, clock, inputs};
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -3,6 +3,7 @@
 #include "bamboohead/detail/http/job_json.hpp"
 #include "bamboohead/job.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 #include <sys/socket.h>
 
@@ -65,21 +66,30 @@
     return httplib::Server::HandlerResponse::Handled;
 }
 
+guarded_http_limits serverLimits(const request_settings &requests, std::uint32_t threads)
+{
+    guarded_http_limits limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.maxUnfinishedBytes = requests.memoryBytes;
+    limits.receiveTimeout = requests.timeout;
+    limits.threads = threads;
+    limits.maxWaitingConnections = std::max<std::size_t>(limits.maxWaitingConnections, threads);
+    return limits;
+}
+
 } // namespace
 
-http_server::http_server(const http_settings &settings, std::uint32_t threads,
-                         const process_metrics &metrics, const std::atomic<bool> &draining,
-                         state_source state)
+http_server::http_server(const http_settings &settings, const request_settings &requests,
+                         std::uint32_t threads, const process_metrics &metrics,
+                         const std::atomic<bool> &draining, state_source state)
     : m_settings{settings}
     , m_state{std::move(state)}
+    , m_server{serverLimits(requests, threads)}
 {
-    // The library takes ownership of the queue and deletes it.
-    m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server.set_keep_alive_timeout(keepAliveSeconds);
     m_server.set_keep_alive_max_count(maxRequestsPerConnection);
     m_server.set_read_timeout(ioTimeoutSeconds);
     m_server.set_write_timeout(ioTimeoutSeconds);
-    m_server.set_payload_max_length(maxBodyBytes);
     m_server.set_tcp_nodelay(true);
     m_server.set_socket_options(disablePortSharing);
     m_server.set_error_handler(httplib::Server::Handler{setErrorBody});
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -109,6 +109,15 @@
         caller_row{"bamboohead_caller_over_limit_total",
                    "Connections closed because too many were open.",
                    &async_http_counters::overLimit},
+        caller_row{"bamboohead_caller_over_budget_total",
+                   "Requests refused before they were received as a whole, to free memory.",
+                   &async_http_counters::overBudget},
+        caller_row{"bamboohead_caller_receive_timeouts_total",
+                   "Requests that were not received as a whole within the time limit.",
+                   &async_http_counters::receiveTimeouts},
+        caller_row{"bamboohead_caller_displaced_total",
+                   "Stalled or idle connections closed to make room for others.",
+                   &async_http_counters::displaced},
 };
 
 constexpr std::array dispatchEntryRows{
--- a/src/adapters/process_setup.cpp
+++ b/src/adapters/process_setup.cpp
@@ -56,6 +56,14 @@
     return std::filesystem::last_write_time(m_path, ignored);
 }
 
+async_http_limits requestLimits(const request_settings &requests)
+{
+    async_http_limits limits;
+    limits.maxUnfinishedBytes = requests.memoryBytes;
+    limits.receiveTimeout = requests.timeout;
+    return limits;
+}
+
 void ignoreBrokenPipes()
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
--- a/src/adapters/process_setup.hpp
+++ b/src/adapters/process_setup.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboohead/async_http_server.hpp"
 #include "bamboohead/http_server.hpp"
 #include "bamboohead/link_table.hpp"
 #include "bamboohead/runtime.hpp"
@@ -34,6 +35,10 @@
 /// @brief Writes the `started` log line with the role, identity and addresses of the process.
 void logStart(const process_identity &self, const http_settings &http);
 
+/// @brief Limits of a server for the platform's interfaces, with those of its unfinished requests
+///        from the settings.
+[[nodiscard]] async_http_limits requestLimits(const request_settings &requests);
+
 /// @brief Ignores SIGPIPE, so that a write to a closed connection does not terminate the process.
 void ignoreBrokenPipes();
 
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -21,6 +21,12 @@
 constexpr std::int64_t minHttpConnections = 16;
 constexpr std::int64_t maxHttpConnections = 4'096;
 constexpr std::int64_t maxRandomSeed = std::numeric_limits<std::int64_t>::max();
+/// Limits of /requests/memory_kb and /requests/timeout_ms. The smallest memory holds some requests
+/// with the largest body of the platform's interfaces (256 KiB).
+constexpr std::int64_t minRequestMemoryKb = 1'024;
+constexpr std::int64_t maxRequestMemoryKb = 1'048'576;
+constexpr std::int64_t minRequestTimeoutMs = 100;
+constexpr std::int64_t maxRequestTimeoutMs = 600'000;
 constexpr std::string_view endpointScheme = "tcp://";
 constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 3> policyNames{"credits", "random", "two_choices"};
@@ -195,6 +201,29 @@
     };
 }
 
+std::vector<setting_description> requestSettings()
+{
+    return {
+            integerSetting("/requests/memory_kb", "24576", "1024 to 1048576", "KiB",
+                           "Memory that requests which were not received as a whole may hold "
+                           "together, for each HTTP server of the process. When it is exhausted, "
+                           "the requests with the highest product of memory and age are answered "
+                           "503, or their connections are closed.",
+                           {minRequestMemoryKb, maxRequestMemoryKb},
+                           [](auto &settings, auto value) {
+                               settings.requests.memoryBytes =
+                                       static_cast<std::size_t>(value) * 1'024;
+                           }),
+            integerSetting("/requests/timeout_ms", "20000", "100 to 600000", "ms",
+                           "Time from the first byte of a request to its last one. A request that "
+                           "takes longer is answered 408, or its connection is closed.",
+                           {minRequestTimeoutMs, maxRequestTimeoutMs},
+                           [](auto &settings, auto value) {
+                               settings.requests.timeout = std::chrono::milliseconds{value};
+                           }),
+    };
+}
+
 std::vector<setting_description> roleSettings()
 {
     return {
@@ -272,7 +301,7 @@
 std::vector<setting_description> allSettings()
 {
     auto rows = commonSettings();
-    for (const auto &more : {roleSettings(), dispatchSettings()}) {
+    for (const auto &more : {requestSettings(), roleSettings(), dispatchSettings()}) {
         rows.insert(rows.end(), more.begin(), more.end());
     }
     return rows;
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -2,6 +2,7 @@
 #include "bamboohead/dispatch/milliseconds.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bamboohead {
 
@@ -17,13 +18,20 @@
 
 } // namespace
 
+std::size_t dispatch_entry::taskCount(const batch_submission &job)
+{
+    return std::accumulate(job.steps.begin(), job.steps.end(), std::size_t{0},
+                           [](std::size_t sum, const auto &step) { return sum + step.count; });
+}
+
 error_kind dispatch_entry::refusalReason(const dispatch_route &route,
                                          const batch_submission &job) const
 {
     if (!job.bestEffort || job.usesUnsupportedFeature) {
         return error_kind::unsupported_job;
     }
-    if (m_jobs.size() >= m_options.limits.maxJobs) {
+    if (m_jobs.size() >= m_options.limits.maxJobs ||
+        m_openTasks + taskCount(job) > m_options.limits.maxOpenTasks) {
         return error_kind::too_many_waiters;
     }
     if (refusesJobs()) {
@@ -184,6 +192,7 @@
     record.callers.push_back(request);
     m_callers.emplace(request, id);
     m_expiries.emplace(record.expires, id);
+    m_openTasks += taskCount(record.submission);
     enqueue(m_jobs.emplace(id, std::move(record)).first->second);
 }
 
@@ -342,6 +351,7 @@
 {
     const auto found = m_jobs.find(id);
     if (found != m_jobs.end() && found->second.ending && found->second.outstanding == 0) {
+        m_openTasks -= taskCount(found->second.submission);
         m_jobs.erase(found);
     }
 }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -484,3 +484,108 @@
     callers[0]->receive();
     CHECK(callers[0]->status() == 503);
 }
+
+// Guards against trailers and chunk headers without an end, which the parser leaves in the buffer.
+TEST_CASE("trailers and chunk headers over the header limit are rejected")
+{
+    const std::string chunked = "POST /job HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &start : {chunked + "0\r\n", chunked + "1;"}) {
+        CAPTURE(start);
+        server_fixture fixture;
+        raw_caller caller{fixture.context, fixture.server.port()};
+        caller.send(start);
+        const std::string line =
+                "name: " + std::string(1'000, 't') + (start.ends_with(';') ? "" : "\r\n");
+        for (int count = 0; count < 40; ++count) {
+            caller.send(line);
+            fixture.run(2ms);
+        }
+        caller.receive();
+        CHECK(caller.status() == 413);
+        CHECK(fixture.server.counters().responses == 1);
+    }
+}
+
+// Guards against bodies within the limit of one request that together exceed the memory.
+TEST_CASE("unfinished requests that exceed the memory limit are refused, the largest and oldest "
+          "first")
+{
+    async_http_limits limits;
+    limits.maxUnfinishedBytes = 300'000;
+    server_fixture fixture{limits};
+    const std::string part =
+            "POST /job HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(150'000, 'x');
+    raw_caller first{fixture.context, fixture.server.port()};
+    first.send(part);
+    fixture.run(50ms);
+    raw_caller second{fixture.context, fixture.server.port()};
+    second.send(part);
+    fixture.run(50ms);
+    first.receive();
+    CHECK(first.status() == 503);
+    CHECK(first.received().find("Retry-After: 1") != std::string::npos);
+    CHECK(fixture.server.counters().overBudget == 1);
+    second.send(std::string(50'000, 'x'));
+    fixture.run(50ms);
+    second.receive();
+    CHECK(second.status() == 503); // the answer of the fixture
+    CHECK(fixture.server.counters().requests == 2);
+    CHECK(fixture.server.counters().overBudget == 1);
+}
+
+// Guards against clients that keep a request open by sending single bytes.
+TEST_CASE("a request that is not received in time is rejected")
+{
+    async_http_limits limits;
+    limits.receiveTimeout = 500ms;
+    server_fixture fixture{limits};
+    raw_caller caller{fixture.context, fixture.server.port()};
+    caller.send("POST /job HTTP/1.1\r\nContent-Length: 4000\r\n\r\n");
+    for (int count = 0; count < 150 && caller.status() == 0; ++count) {
+        caller.send("x");
+        fixture.run(20ms);
+        caller.receive();
+    }
+    CHECK(caller.status() == 408);
+    CHECK(fixture.server.counters().receiveTimeouts == 1);
+}
+
+// Guards against bytes behind an unanswered request that are read although nobody needs them yet.
+TEST_CASE_FIXTURE(server_fixture, "pipelined requests beyond the buffer are answered in turn")
+{
+    raw_caller caller{context, server.port()};
+    constexpr int requests = 1'000;
+    std::string all;
+    for (int count = 0; count < requests; ++count) {
+        all += wholeRequest;
+    }
+    answersAtOnce = false;
+    caller.send(all);
+    for (int round = 0; round < 5'000 && server.counters().responses < requests; ++round) {
+        run(1ms);
+        for (const auto exchange : std::exchange(waiting, {})) {
+            respond(exchange);
+        }
+        caller.receive();
+    }
+    CHECK(server.counters().responses == requests);
+    CHECK(server.connections() == 1);
+}
+
+// Guards against ordinary callers that find no connection because stalled clients hold them all.
+TEST_CASE("a stalled connection is closed to make room for a new one")
+{
+    async_http_limits limits;
+    limits.maxConnections = 1;
+    server_fixture fixture{limits};
+    raw_caller stalled{fixture.context, fixture.server.port()};
+    stalled.send("POST /job HTTP/1.1\r\n");
+    fixture.run(1'100ms);
+    raw_caller caller{fixture.context, fixture.server.port()};
+    caller.send(wholeRequest);
+    fixture.run(50ms);
+    stalled.receive();
+    CHECK(stalled.closed());
+    CHECK(fixture.server.counters().displaced == 1);
+    CHECK(fixture.server.counters().requests == 1);
+}
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -1100,3 +1100,29 @@
     fixture.pass(100ms);
     CHECK(fixture.ordered() == 3);
 }
+
+// Guards against jobs with many tasks, each within the limits, that together exceed the memory.
+TEST_CASE("a job is refused when the open jobs have too many tasks")
+{
+    manual_clock time;
+    auto options = entryOptions();
+    options.limits.maxOpenTasks = 10;
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    const auto submit = [&](std::uint64_t number, std::uint32_t tasks) {
+        auto job = smallJob(number);
+        job.steps.front().count = tasks;
+        entry.submit(caller_request{number}, entry.config().routes.front(), std::move(job));
+        for (const auto &action : entry.takeActions()) {
+            if (const auto *const reply = std::get_if<job_reply>(&action)) {
+                return reply->error;
+            }
+        }
+        return error_kind::none; // open
+    };
+    CHECK(submit(1, 6) == error_kind::none);
+    CHECK(submit(2, 5) == error_kind::too_many_waiters);
+    CHECK(submit(3, 4) == error_kind::none);
+    entry.callerDisconnected(caller_request{1});
+    CHECK(submit(4, 6) == error_kind::none);
+}
--- a/tests/http_entry_test.cpp
+++ b/tests/http_entry_test.cpp
@@ -60,8 +60,9 @@
     std::atomic<bool> draining{false};
 
 private:
-    http_server m_server{http_settings{}, minConnections, metrics, draining,
-                         [] { return std::optional<std::string>{"{}"}; }};
+    http_server m_server{http_settings{}, request_settings{},
+                         minConnections,  metrics,
+                         draining,        [] { return std::optional<std::string>{"{}"}; }};
     http_entry m_routes{m_server, minConnections, inputs, callers, metrics};
 };
 
@@ -257,8 +258,9 @@
     settings.port = static_cast<std::uint16_t>(fixture.port());
     const process_metrics metrics;
     const std::atomic<bool> draining{false};
-    http_server second{settings, minConnections, metrics, draining,
-                       [] { return std::optional<std::string>{"{}"}; }};
+    http_server second{settings,       request_settings{},
+                       minConnections, metrics,
+                       draining,       [] { return std::optional<std::string>{"{}"}; }};
     CHECK_THROWS_AS(second.start(), std::runtime_error);
 }
 
