--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboohead/dispatch/agent_assignment.hpp"
 #include "bamboohead/dispatch/batch_job.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
 #include "bamboohead/dispatch/load_policy.hpp"
@@ -57,6 +58,9 @@
     resources capacity;
     resources running; ///< demand of all running tasks there, of all entries, in the newest report
     std::map<std::uint32_t, resources> queued; ///< demand of all waiting tasks there, by priority
+    /// Expected waits of further tasks in the newest report, by priority.
+    std::map<std::uint32_t, duration> queueWaits;
+    duration roomWait{}; ///< expected wait of a task that precedes all waiting ones
     /// Number of the newest order message that the agent has reported as handled; 0: none.
     std::uint64_t ordersHandled = 0;
     std::uint64_t ordersSent = 0; ///< number of the newest order message; 0: none
@@ -81,15 +85,42 @@
     std::map<run_ref, outstanding_run> outstanding;
     time_point noOrdersUntil; ///< end of the pause after a refused order
     slowness_estimate slownessEstimate;
+    double lastingSlowness = 0; ///< lasting_slowness::ratio() as reported; 0: unknown
+    /// Lasting slowness of the target relative to the mean of its service; 1 when it is unknown or
+    /// placement_options::lastingSpeeds is off.
+    double speedFactor = 1.0;
 
+    /// @brief Expected ratio of run times on the target to those on a mean target, now.
+    [[nodiscard]] double slowness(time_point now) const
+    {
+        return slownessEstimate.slowness(now) * speedFactor;
+    }
     /// @brief Demand that has precedence over a new run of a priority: running tasks, waiting tasks
     ///        of the same or a more urgent priority, and orders that the newest report does not
     ///        account for.
     [[nodiscard]] resources precedingDemand(std::uint32_t priority) const;
+    /// @brief The part of precedingDemand() that the newest report accounts for.
+    [[nodiscard]] resources reportedDemand(std::uint32_t priority) const;
+    /// @brief Expected wait of a further task of a priority in the newest report.
+    [[nodiscard]] duration reportedWait(std::uint32_t priority) const;
     /// @brief The part of precedingDemand() that is known from this entry's own orders.
     [[nodiscard]] resources ownDemand() const;
 };
 
+/// @brief How agents are chosen; by default as if all targets were alike and no run waited.
+struct placement_options
+{
+    /// Whether an entry prefers the agents that are assigned to it, see agent_assignment, and runs
+    /// may wait in the queue of a full target for a limited time, see queue_patience.
+    bool forecasts = false;
+    /// Whether the lasting speeds of targets are used, see lasting_slowness.
+    bool lastingSpeeds = false;
+    /// Factor by which run times are longer away from the preferred label. Above 1, it decides how
+    /// long a task waits for a target with it, see longestWaitNear(). 0: unknown; such targets are
+    /// only preferred.
+    double distanceFactor = 0;
+};
+
 /// @brief Requirements of a task that is to be placed.
 struct placement_request
 {
@@ -108,6 +139,9 @@
     /// objective; the time that later steps need is not subtracted. 0 or less when that time has
     /// passed. Targets with a slowness of up to 2 are accepted in any case.
     double maxSlowness = 0;
+    duration runTime{};   ///< expected run time on a mean target near the task's data
+    double deviation = 0; ///< mean deviation of the run time, as a part of it
+    duration patience{};  ///< longest wait for a start that pays, see queue_patience
 };
 
 /// @brief An agent that may run the tasks of a step, with its load while they are placed.
@@ -124,6 +158,8 @@
     double preference = 1.0; ///< weight factor; higher for targets with the preferred label
     std::uint32_t tasks = 0; ///< outstanding tasks of the step on this agent
     bool chosen = false;     ///< the agent was chosen for an earlier task
+    bool preferred = false;  ///< the target has the preferred label
+    bool assigned = false;   ///< see agent_assignment
 
     /// @brief Adds the demand of a task for which the agent was chosen.
     void addTask(const resources &demand)
@@ -134,13 +170,28 @@
     }
 };
 
+/// @brief Reason for the choice of an agent.
+enum class placement_reason : std::uint8_t {
+    free,     ///< it is expected to start the task at once
+    probe,    ///< no other is free, and its report is old
+    queue,    ///< no other is free; the task waits in its queue
+    near,     ///< waiting near the data ends the task earlier than a start elsewhere
+    assigned, ///< as `free`, and the agent is assigned to the entry
+};
+
+/// @brief Name of a reason in logs.
+[[nodiscard]] std::string_view toText(placement_reason reason);
+
 /// @brief An agent that was chosen for a task.
 struct chosen_agent
 {
     agent_view *agent = nullptr; ///< null: no agent can take the task
-    /// Whether the agent is expected to start the task at once. Otherwise the task is to wait in
-    /// the agent's queue.
+    /// Whether the agent is to refuse the task if it cannot start it within `maxWait`. Otherwise
+    /// the task is to wait in the agent's queue.
     bool free = false;
+    duration maxWait{};      ///< see RunOrder.max_wait_ms; 0: no wait if `free`, else any
+    duration expectedWait{}; ///< that was estimated for the choice
+    placement_reason reason = placement_reason::free;
 };
 
 /// @brief Agents known to an entry, and the placement of tasks on them.
@@ -150,10 +201,12 @@
     /// @param member Has to outlive the pool, which refers to it.
     /// @param seed Seed of the random choices among agents.
     /// @param workingSet Sizes of the working set of each service.
-    agent_pool(const fleet_member &member, std::uint64_t seed, working_set_limits workingSet)
+    agent_pool(const fleet_member &member, std::uint64_t seed, working_set_limits workingSet,
+               placement_options options = {})
         : m_member{member}
         , m_random{seed}
         , m_workingSetLimits{workingSet}
+        , m_options{options}
     {}
 
     [[nodiscard]] std::map<incarnation_id, agent_view> &agents() noexcept { return m_agents; }
@@ -165,6 +218,11 @@
 
     /// @brief Adapts the working set of each service; to be called in each tick.
     void updateWorkingSets();
+    /// @brief Determines the agents of each service that are assigned to this entry, and adds them
+    ///        to its working set.
+    /// @param demand Work for a service that arrives per second at each entry, by the service.
+    void
+    updateAssignments(const std::map<std::string_view, std::map<incarnation_id, double>> &demand);
     /// @brief Whether the agent belongs to the working set of its service. True for an agent that
     ///        has not reported its service yet.
     [[nodiscard]] bool inWorkingSet(const agent_view &agent) const;
@@ -225,12 +283,42 @@
     [[nodiscard]] resources capacity(std::string_view service) const;
 
 private:
-    /// A candidate for a task, and whether it is expected to start the task at once.
+    /// A candidate for a task, see chosen_agent.
     struct selection
     {
         placement_candidate *candidate = nullptr;
         bool free = false;
+        duration maxWait{};
+        duration expectedWait{};
+        placement_reason reason = placement_reason::free;
     };
+    /// A candidate with free capacity, and its weight in the random choice.
+    using weighted_candidates = std::vector<std::pair<placement_candidate *, double>>;
+
+    /// Chooses among candidates with free capacity.
+    [[nodiscard]] placement_candidate *chooseWeighted(const weighted_candidates &candidates);
+    [[nodiscard]] double weightOf(const placement_candidate &candidate,
+                                  const placement_request &request) const;
+    /// Expected time until a candidate starts a further task.
+    [[nodiscard]] duration estimateWait(const placement_candidate &candidate,
+                                        const placement_request &request) const;
+    /// Whether a candidate that is assigned to another entry has so much free capacity that the
+    /// task still fits when that entry has used it for another one meanwhile.
+    [[nodiscard]] static bool hasReserve(const placement_candidate &candidate,
+                                         const placement_request &request);
+    /// Whether a candidate may take the task if it can start it soon.
+    [[nodiscard]] static bool mayWaitAt(const placement_candidate &candidate,
+                                        const placement_request &request);
+    /// Chooses the assigned candidate with the shortest wait, if the wait pays. What this entry
+    /// knows of its own agents is recent.
+    [[nodiscard]] selection selectForWait(std::vector<placement_candidate> &candidates,
+                                          const placement_request &request) const;
+    /// Chooses a candidate with the preferred label if a wait there pays.
+    /// @param anyFree Whether another candidate has free capacity.
+    [[nodiscard]] selection selectNear(std::vector<placement_candidate> &candidates,
+                                       const placement_request &request, bool anyFree) const;
+    /// Updates agent_view::speedFactor of all agents.
+    void updateSpeedFactors();
     [[nodiscard]] selection selectCandidate(std::vector<placement_candidate> &candidates,
                                             const placement_request &request);
     /// Replaces a part of the reported load of old reports by the mean load of all candidates.
@@ -251,8 +339,10 @@
     std::mt19937_64 m_random;
     target_health m_health;
     working_set_limits m_workingSetLimits;
-    std::map<std::string, working_set, std::less<>> m_workingSets; ///< by service
-    duration m_meanRunTime = std::chrono::milliseconds{200};       ///< of this entry's tasks
+    placement_options m_options;
+    std::map<std::string, working_set, std::less<>> m_workingSets;      ///< by service
+    std::map<std::string, agent_assignment, std::less<>> m_assignments; ///< by service
+    duration m_meanRunTime = std::chrono::milliseconds{200};            ///< of this entry's tasks
 };
 
 } // namespace bamboohead
--- a/include/bamboohead/dispatch/dispatch_agent.hpp
+++ b/include/bamboohead/dispatch/dispatch_agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboohead/dispatch/fleet_member.hpp"
+#include "bamboohead/dispatch/load_policy.hpp"
 #include "bamboohead/dispatch/state_reader.hpp"
 #include "bamboohead/dispatch/target_session.hpp"
 
@@ -86,6 +87,8 @@
     /// Reads of the desired state in the store, because no entry had read it for too long.
     std::uint64_t stateReads = 0;
     std::uint64_t stateReadsFailed = 0;
+    /// Queued runs that were returned because they had waited for much longer than expected.
+    std::uint64_t runsReturned = 0;
 };
 
 /// @brief Scheduling logic of an agent that runs tasks within its target's resources. Performs no
@@ -183,6 +186,9 @@
         std::string spec;
         resources demand;
         target_requirements requirements;
+        duration expected{}; ///< run time on a target of normal speed; 0: unknown
+        duration maxWait{};  ///< longest expected wait in the queue; 0: no limit
+        time_point ordered;  ///< when the order was accepted
         queue_key key;
         /// Number of the entry's newest message that ordered the run; 0: of an earlier epoch.
         std::uint64_t order = 0;
@@ -222,6 +228,18 @@
     [[nodiscard]] error_kind refusalReason(const run_ref &ref, const wire::RunOrder &order,
                                            bool fresh) const;
     [[nodiscard]] resources queuedDemandUpTo(std::uint32_t priority) const;
+    /// Expected time until a run with this priority and demand would start; without a priority, of
+    /// one that precedes all waiting runs.
+    [[nodiscard]] duration expectedWait(std::optional<std::uint32_t> priority,
+                                        const resources &demand) const;
+    /// Mean demand of the runs of this agent.
+    [[nodiscard]] resources meanDemand() const;
+    /// Expected run time on this target.
+    [[nodiscard]] duration expectedHere(const agent_run &run) const;
+    /// Returns queued runs that have waited for much longer than expected to their entries.
+    void returnOverdueRuns();
+    /// Records the run time of a task that is done in the lasting slowness of the target.
+    void recordRunTime(const agent_run &run, duration runTime);
     void enqueue(const run_ref &ref, const agent_run &run);
     void dequeue(const agent_run &run);
     /// Stops the runs of an entry that are missing from the complete list in its message.
@@ -282,9 +300,11 @@
     std::uint64_t m_lastEpoch = 0;               ///< newest epoch given to an entry_state
     dispatch_agent_counters m_counters;
     std::vector<duration> m_runTimes;
-    std::deque<crash_record> m_crashed; ///< oldest first
-    std::deque<doubt_record> m_doubts;  ///< oldest first
-    std::uint64_t m_lastDoubt = 0;      ///< number of the newest doubt_record
+    lasting_slowness m_slowness;
+    std::optional<target_lifetime> m_slownessOf; ///< lifetime that `m_slowness` belongs to
+    std::deque<crash_record> m_crashed;          ///< oldest first
+    std::deque<doubt_record> m_doubts;           ///< oldest first
+    std::uint64_t m_lastDoubt = 0;               ///< number of the newest doubt_record
     state_reader m_stateReader;
     bool m_waitLogged = false; ///< that queued runs wait for a read of the desired state
     bool m_lastLoggedReady = false;
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -4,8 +4,11 @@
 #include "bamboohead/dispatch/batch_job.hpp"
 #include "bamboohead/dispatch/cancel_ledger.hpp"
 #include "bamboohead/dispatch/crash_ledger.hpp"
+#include "bamboohead/dispatch/fleet_demand.hpp"
 #include "bamboohead/dispatch/fleet_member.hpp"
+#include "bamboohead/dispatch/room_sharing.hpp"
 #include "bamboohead/dispatch/start_ledger.hpp"
+#include "bamboohead/dispatch/wait_policy.hpp"
 
 #include <boost/json/value.hpp>
 
@@ -84,6 +87,12 @@
     /// this is 16 MB. The connections of an entry allow 3,000 jobs with 133 tasks each.
     std::size_t maxOpenTasks = 400'000;
     duration tickPeriod = std::chrono::milliseconds{20}; ///< scheduled time between two ticks
+    placement_options placement;
+    /// Whether the room for new jobs is decided from the demand of all entries and shared between
+    /// routes, see shareRoom(). Otherwise each entry decides by its own queue.
+    bool fleetAdmission = false;
+    /// Shortest interval of messages to other entries while jobs wait, see largeFleetFactor().
+    duration demandInterval = std::chrono::milliseconds{150};
 };
 
 /// @brief Construction options of a dispatch_entry.
@@ -115,6 +124,13 @@
     /// Tasks that may start on one target only, because it may still execute an earlier start.
     std::uint64_t tasksBound = 0;
     std::uint64_t tasksGivenUp = 0; ///< because targets have crashed under several of their runs
+    /// Jobs refused because the demand of all entries exceeded the room for their route.
+    std::uint64_t refusedForRoom = 0;
+    /// Runs ordered from an agent with the label that the task prefers, or without it although it
+    /// prefers one.
+    std::uint64_t runsNear = 0;
+    std::uint64_t runsAway = 0;
+    std::uint64_t runsNearAfterWait = 0; ///< of `runsNear`: that may wait for their place
 };
 
 /// @brief Scheduling logic of an entry: a process that accepts jobs from callers and assigns their
@@ -229,6 +245,9 @@
         bool suspect = false; ///< see crash_ledger
         /// Id of the only target that may execute the task; empty: any, see start_ledger.
         std::string_view target;
+        duration maxWait{}; ///< see chosen_agent
+        duration expectedWait{};
+        placement_reason reason = placement_reason::free;
     };
 
     struct ended_job
@@ -279,6 +298,16 @@
     [[nodiscard]] placement_request makePlacementRequest(const job_record &job,
                                                          std::uint32_t step) const;
     [[nodiscard]] duration backlog() const;
+    /// Computes the load of each service from the demand of all entries, and the shares of its
+    /// routes.
+    void updateFleetLoad();
+    void logSharedRoom(const std::string &service, const service_load &load);
+    /// Whether a job of a route is accepted. Draws a random number.
+    [[nodiscard]] bool admits(const dispatch_route &route);
+    /// Work that waits at agents, in millicore-seconds.
+    [[nodiscard]] std::uint64_t queuedWorkAt(const agent_view &agent) const;
+    /// Interval of messages to other entries.
+    [[nodiscard]] duration syncInterval() const;
     [[nodiscard]] bool discovering() const;
     [[nodiscard]] duration measureEventLoopDelay();
     void demoteOrRefuseLateJobs();
@@ -330,7 +359,18 @@
     std::map<incarnation_id, sync_times> m_lastSync; ///< by other entry
     run_time_model m_runTimes;
     start_rate m_startRate;
+    /// With fleetAdmission it limits the share only by the delay of this process's event loop.
     admission_share m_admission;
+    fleet_demand m_demand;
+    /// State of one service, by the hash of its name.
+    struct service_room
+    {
+        service_load load;
+        std::map<name_hash, double> shares; ///< see shareRoom()
+        time_point lastLog;                 ///< of `room_shared`
+    };
+    std::map<name_hash, service_room> m_rooms;
+    queue_patience m_patience;
     /// Mean expected run time of ordered tasks, by priority.
     std::map<std::uint32_t, duration> m_meanRunTimes;
     std::mt19937_64 m_random;
--- a/include/bamboohead/dispatch/load_policy.hpp
+++ b/include/bamboohead/dispatch/load_policy.hpp
@@ -24,9 +24,38 @@
     /// @brief Expected run time of a task; `declared` itself for a route without observations.
     [[nodiscard]] duration expected(std::string_view route, duration declared) const;
 
+    /// @brief Mean deviation of the run times of a route from their mean, as a part of it; 0
+    ///        without observations.
+    [[nodiscard]] double deviation(std::string_view route) const;
+
 private:
-    /// Running mean of the ratio of observed to declared run times, by route.
-    std::unordered_map<std::string, double> m_ratios;
+    /// Running means of a route.
+    struct ratio_statistics
+    {
+        double mean = 1.0;      ///< ratio of observed to declared run times
+        double deviation = 0.0; ///< absolute difference of a ratio and `mean`
+    };
+
+    std::unordered_map<std::string, ratio_statistics> m_ratios;
+};
+
+/// @brief Lasting speed of a target, from all tasks that it has run in its lifetime.
+///
+/// Unlike slowness_estimate it does not decay: sound targets differ in speed by their kind. Run
+/// times have a long tail, so it averages their logarithms.
+class lasting_slowness
+{
+public:
+    /// @brief Records a task that is done.
+    void record(duration expected, duration observed);
+    /// @brief Ratio of run times on this target to expected ones.
+    /// @return 0 when fewer than ten tasks were recorded.
+    [[nodiscard]] double ratio() const;
+    void reset() { *this = {}; }
+
+private:
+    double m_meanLogarithm = 0;
+    int m_tasks = 0; ///< recorded tasks, up to the number that the mean averages
 };
 
 /// @brief Estimates how slowly a target runs its tasks, compared with their expected run times.
@@ -81,6 +110,23 @@
     std::int64_t m_newest = 0; ///< number of the newest interval, counted from the clock's epoch
 };
 
+/// @brief Work per second, averaged over the last half second.
+class work_rate
+{
+public:
+    /// @brief Records work, in millicore-seconds.
+    void record(std::uint64_t work, time_point now);
+    /// @brief Mean rate in millicores.
+    [[nodiscard]] std::uint64_t perSecond(time_point now) const;
+
+private:
+    static constexpr std::size_t intervals = 6; ///< the newest one is not over yet
+    static constexpr duration intervalLength = std::chrono::milliseconds{100};
+
+    std::array<std::uint64_t, intervals> m_work{};
+    std::array<std::int64_t, intervals> m_numbers{}; ///< interval of each sum, from the epoch
+};
+
 /// @brief Adaptive admission control: the share of jobs that an entry accepts, so that accepted
 ///        jobs can meet their response-time objective.
 ///
--- a/include/bamboohead/settings.hpp
+++ b/include/bamboohead/settings.hpp
@@ -73,6 +73,13 @@
     /// host:port of agents to contact for finding entries; only the hosts are used, with the port
     /// of this process's own endpoint.
     std::vector<std::string> contacts;
+    /// Whether an entry decides on new jobs from the demand of all entries.
+    bool fleetAdmission = false;
+    /// Whether an entry places tasks by forecasts: of the wait at full targets, and of run times
+    /// from the lasting speeds of targets.
+    bool forecastPlacement = false;
+    /// Factor by which run times are longer away from a task's data or group; 0: unknown.
+    double distanceFactor = 0;
 };
 
 /// @brief All settings of a process.
@@ -98,7 +105,7 @@
 }
 
 /// @brief Type of the value of a setting.
-enum class setting_type : std::uint8_t { text, text_list, integer, choice };
+enum class setting_type : std::uint8_t { text, text_list, integer, choice, number };
 
 /// @brief Description of one setting, from which parsing, validation and reference are derived.
 struct setting_description
@@ -109,16 +116,17 @@
     std::string_view range;       ///< allowed values, for error messages and the reference
     std::string_view unit;        ///< may be empty
     std::string_view help;        ///< meaning of the setting
-    std::int64_t minimum = 0;     ///< smallest allowed integer
-    std::int64_t maximum = 0;     ///< largest allowed integer, or number of list items
-    /// Validates a text or a choice, or each item of a list; null only for an integer.
+    std::int64_t minimum = 0;     ///< smallest allowed integer or number
+    std::int64_t maximum = 0;     ///< largest allowed integer or number, or number of list items
+    /// Validates a text or a choice, or each item of a list; null for an integer or a number.
     bool (*valid)(std::string_view) = nullptr;
     /// Store a valid value. Only the function for `type` is set: assignText for text and choice,
-    /// assignList for text_list, assignInteger for integer.
+    /// assignList for text_list, assignInteger for integer, assignNumber for number.
     /// @{
     void (*assignText)(process_settings &, std::string) = nullptr;
     void (*assignList)(process_settings &, std::vector<std::string>) = nullptr;
     void (*assignInteger)(process_settings &, std::int64_t) = nullptr;
+    void (*assignNumber)(process_settings &, double) = nullptr;
     /// @}
 };
 
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -230,6 +230,10 @@
     options.contacts = contactEndpoints(settings);
     options.seed = seedOrRandom(settings.entry.seed);
     options.limits.tickPeriod = dispatchTickInterval;
+    options.limits.fleetAdmission = settings.dispatch.fleetAdmission;
+    options.limits.placement = {settings.dispatch.forecastPlacement,
+                                settings.dispatch.forecastPlacement,
+                                settings.dispatch.distanceFactor};
     return options;
 }
 
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -154,6 +154,18 @@
         dispatch_entry_row{"bamboohead_dispatch_tasks_given_up_total",
                            "Tasks given up because targets crashed under their runs.",
                            &dispatch_entry_counters::tasksGivenUp},
+        dispatch_entry_row{"bamboohead_dispatch_jobs_refused_for_room_total",
+                           "Jobs refused because the demand exceeded the room for their route.",
+                           &dispatch_entry_counters::refusedForRoom},
+        dispatch_entry_row{"bamboohead_dispatch_runs_near_total",
+                           "Runs ordered near the data or group of their task.",
+                           &dispatch_entry_counters::runsNear},
+        dispatch_entry_row{"bamboohead_dispatch_runs_away_total",
+                           "Runs ordered away from the data or group of their task.",
+                           &dispatch_entry_counters::runsAway},
+        dispatch_entry_row{"bamboohead_dispatch_runs_near_after_wait_total",
+                           "Runs that may wait for a place near the data or group of their task.",
+                           &dispatch_entry_counters::runsNearAfterWait},
 };
 
 constexpr std::array dispatchAgentRows{
@@ -176,6 +188,9 @@
         dispatch_agent_row{"bamboohead_dispatch_state_reads_failed_total",
                            "Failed reads of the desired state.",
                            &dispatch_agent_counters::stateReadsFailed},
+        dispatch_agent_row{"bamboohead_dispatch_runs_returned_total",
+                           "Queued runs returned because they had waited for too long.",
+                           &dispatch_agent_counters::runsReturned},
 };
 
 /// Prometheus counters of one counter structure. They are created by the first update, so a process
--- a/src/adapters/setting_table.cpp
+++ b/src/adapters/setting_table.cpp
@@ -29,6 +29,9 @@
 constexpr std::int64_t maxRequestTimeoutMs = 600'000;
 constexpr std::string_view endpointScheme = "tcp://";
 constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 2> admissionNames{"entry", "fleet"};
+constexpr std::array<std::string_view, 2> placementNames{"immediate", "forecast"};
+constexpr std::int64_t maxDistanceFactor = 100;
 constexpr std::array<std::string_view, 3> policyNames{"credits", "random", "two_choices"};
 
 bool isOptionalEndpoint(std::string_view text)
@@ -70,6 +73,16 @@
     return std::ranges::find(policyNames, text) != policyNames.end();
 }
 
+bool isAdmission(std::string_view text)
+{
+    return std::ranges::find(admissionNames, text) != admissionNames.end();
+}
+
+bool isPlacement(std::string_view text)
+{
+    return std::ranges::find(placementNames, text) != placementNames.end();
+}
+
 void assignLevel(process_settings &settings, std::string text)
 {
     const auto *const name = std::ranges::find(levelNames, text);
@@ -148,6 +161,22 @@
     return row;
 }
 
+setting_description numberSetting(std::string_view path, std::string_view defaultText,
+                                  std::string_view range, std::string_view help, bounds allowed,
+                                  void (*assign)(process_settings &, double))
+{
+    setting_description row;
+    row.path = path;
+    row.type = setting_type::number;
+    row.defaultText = defaultText;
+    row.range = range;
+    row.help = help;
+    row.minimum = allowed.minimum;
+    row.maximum = allowed.maximum;
+    row.assignNumber = assign;
+    return row;
+}
+
 std::vector<setting_description> commonSettings()
 {
     return {
@@ -295,6 +324,28 @@
                         [](auto &settings, auto value) {
                             settings.dispatch.contacts = std::move(value);
                         }),
+            choiceSetting(
+                    "/dispatch/admission", R"("entry")", "entry, fleet",
+                    "Load by which dispatch-entry refuses jobs: that of its own queue, or the "
+                    "demand of all entries, whose room is then shared between the routes.",
+                    isAdmission,
+                    [](auto &settings, auto value) {
+                        settings.dispatch.fleetAdmission = value == "fleet";
+                    }),
+            choiceSetting("/dispatch/placement", R"("immediate")", "immediate, forecast",
+                          "How dispatch-entry places tasks: only where they can start at once, or "
+                          "by forecasts of the wait at full targets and of the targets' speeds.",
+                          isPlacement,
+                          [](auto &settings, auto value) {
+                              settings.dispatch.forecastPlacement = value == "forecast";
+                          }),
+            numberSetting(
+                    "/dispatch/distance_factor", "0", "0 to 100",
+                    "Factor by which a task runs longer away from the data or group that it "
+                    "names. Above 1, dispatch-entry decides with it how long a task waits for "
+                    "a place there; otherwise such targets are only preferred.",
+                    {0, maxDistanceFactor},
+                    [](auto &settings, auto value) { settings.dispatch.distanceFactor = value; }),
     };
 }
 
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> typeNames{"text", "list of texts", "integer", "choice"};
+constexpr std::array<std::string_view, 5> typeNames{"text", "list of texts", "integer", "choice",
+                                                    "number"};
 
 json::value parseJson(std::string_view text, json::error_code &error)
 {
@@ -61,6 +62,21 @@
     return true;
 }
 
+bool setNumberValue(const setting_description &row, const json::value &value,
+                    process_settings &settings)
+{
+    if (!value.is_number()) {
+        return false;
+    }
+    const auto number = value.to_number<double>();
+    if (!(number >= static_cast<double>(row.minimum) &&
+          number <= static_cast<double>(row.maximum))) {
+        return false;
+    }
+    row.assignNumber(settings, number);
+    return true;
+}
+
 bool setListValue(const setting_description &row, const json::value &value,
                   process_settings &settings)
 {
@@ -90,6 +106,8 @@
         return setIntegerValue(row, value, settings);
     case setting_type::text_list:
         return setListValue(row, value, settings);
+    case setting_type::number:
+        return setNumberValue(row, value, settings);
     }
     return false;
 }
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -1,7 +1,11 @@
 #include "bamboohead/dispatch/agent_pool.hpp"
 
+#include "bamboohead/dispatch/wait_policy.hpp"
+
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <iterator>
 #include <set>
 
 namespace bamboohead {
@@ -30,6 +34,10 @@
 constexpr int meanRunTimeTasks = 100; ///< the mean run time averages about this many tasks
 /// Currency of a report below which an agent without free capacity in it may be probed.
 constexpr double probeCurrency = 0.6;
+/// Weight factor of targets on which a task would miss its objective if it took longer than
+/// expected by its mean deviation.
+constexpr double unsafeTargetWeight = 0.1;
+constexpr std::array<std::string_view, 5> reasonNames{"free", "probe", "queue", "near", "assigned"};
 
 /// Converts a job id to the form that target_health uses. That form contains the caller's session,
 /// which stays empty here because a batch job has none.
@@ -53,12 +61,29 @@
 
 } // namespace
 
-resources agent_view::precedingDemand(std::uint32_t priority) const
+std::string_view toText(placement_reason reason)
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+resources agent_view::reportedDemand(std::uint32_t priority) const
 {
     auto sum = running;
     for (auto each = queued.begin(); each != queued.end() && each->first <= priority; ++each) {
         sum += each->second;
     }
+    return sum;
+}
+
+duration agent_view::reportedWait(std::uint32_t priority) const
+{
+    const auto after = queueWaits.upper_bound(priority);
+    return after == queueWaits.begin() ? roomWait : std::prev(after)->second;
+}
+
+resources agent_view::precedingDemand(std::uint32_t priority) const
+{
+    auto sum = reportedDemand(priority);
     for (const auto &[ref, run] : outstanding) {
         if (run.orderNumber > ordersHandled) {
             sum += run.demand;
@@ -122,6 +147,53 @@
     for (auto &[service, set] : m_workingSets) {
         set.update(candidates[service], busy, m_member.now());
     }
+    if (m_options.lastingSpeeds) {
+        updateSpeedFactors();
+    }
+}
+
+void agent_pool::updateAssignments(
+        const std::map<std::string_view, std::map<incarnation_id, double>> &demand)
+{
+    std::map<std::string_view, std::vector<incarnation_id>> agents;
+    for (const auto &[incarnation, agent] : m_agents) {
+        if (available(agent)) {
+            agents[agent.service].push_back(incarnation);
+        }
+    }
+    for (const auto &[service, entries] : demand) {
+        auto assignment = m_assignments.find(service);
+        if (assignment == m_assignments.end()) {
+            assignment =
+                    m_assignments.emplace(service, agent_assignment{m_member.self().incarnation})
+                            .first;
+        }
+        assignment->second.update(agents[service], entries, m_member.now());
+        if (const auto set = m_workingSets.find(service); set != m_workingSets.end()) {
+            for (const auto agent : assignment->second.agents()) {
+                set->second.add(agent);
+            }
+        }
+    }
+}
+
+void agent_pool::updateSpeedFactors()
+{
+    std::map<std::string_view, std::pair<double, int>> sums; // of the known ratios, by service
+    for (const auto &[incarnation, agent] : m_agents) {
+        if (agent.lastingSlowness > 0) {
+            auto &[sum, count] = sums[agent.service];
+            sum += agent.lastingSlowness;
+            ++count;
+        }
+    }
+    for (auto &[incarnation, agent] : m_agents) {
+        const auto found = sums.find(agent.service);
+        agent.speedFactor =
+                agent.lastingSlowness > 0
+                        ? agent.lastingSlowness * found->second.second / found->second.first
+                        : 1.0;
+    }
 }
 
 void agent_pool::addLabelledAgents(const placement_request &request)
@@ -188,7 +260,7 @@
     return std::ranges::any_of(m_agents, [&](const auto &item) {
         const auto &agent = item.second;
         return item.first != request.avoidedAgent && isEligible(agent, request) &&
-               agent.slownessEstimate.slowness(m_member.now()) < slowTargetThreshold &&
+               agent.slowness(m_member.now()) < slowTargetThreshold &&
                request.taskStep->demand.fitsIn(agent.capacity -
                                                agent.precedingDemand(request.priority));
     });
@@ -199,11 +271,12 @@
     addLabelledAgents(request);
     std::vector<placement_candidate> found;
     const auto now = m_member.now();
+    const auto assignment = m_assignments.find(request.service);
     for (auto &[incarnation, agent] : m_agents) {
         if (!isEligible(agent, request)) {
             continue;
         }
-        const auto slowness = agent.slownessEstimate.slowness(now);
+        const auto slowness = agent.slowness(now);
         if (slowness > std::max(request.maxSlowness, slowTargetThreshold)) {
             continue;
         }
@@ -211,8 +284,11 @@
         const bool preferred = !label.empty() && hasLabel(agent, label);
         const auto age = static_cast<double>((now - agent.lastReport).count());
         const auto currency = std::exp(-age / static_cast<double>(m_meanRunTime.count()));
-        found.push_back({&agent, agent.precedingDemand(request.priority), currency, slowness,
-                         preferred ? preferredLabelWeight : 1.0, outstandingTasks(agent, request)});
+        found.push_back(
+                {&agent, agent.precedingDemand(request.priority), currency, slowness,
+                 preferred ? preferredLabelWeight : 1.0, outstandingTasks(agent, request), false,
+                 preferred,
+                 assignment != m_assignments.end() && assignment->second.contains(incarnation)});
     }
     estimateLoads(found);
     return found;
@@ -220,13 +296,15 @@
 
 void agent_pool::estimateLoads(std::vector<placement_candidate> &candidates) const
 {
-    double running = 0;
+    double load = 0;
     double capacity = 0;
     for (const auto &candidate : candidates) {
-        running += static_cast<double>(candidate.agent->running.cpuMillis);
+        // Without forecasts, no run is expected to wait at an agent for long.
+        load += static_cast<double>(m_options.forecasts ? candidate.precedingDemand.cpuMillis
+                                                        : candidate.agent->running.cpuMillis);
         capacity += static_cast<double>(candidate.agent->capacity.cpuMillis);
     }
-    const auto meanLoad = running / std::max(1.0, capacity);
+    const auto meanLoad = load / std::max(1.0, capacity);
     for (auto &candidate : candidates) {
         const auto own = candidate.agent->ownDemand().cpuMillis;
         auto &demand = candidate.precedingDemand.cpuMillis;
@@ -252,7 +330,8 @@
         return {};
     }
     chosen.candidate->addTask(request.taskStep->demand);
-    return {chosen.candidate->agent, chosen.free};
+    return {chosen.candidate->agent, chosen.free, chosen.maxWait, chosen.expectedWait,
+            chosen.reason};
 }
 
 chosen_agent agent_pool::chooseAgentOf(std::string_view target,
@@ -293,12 +372,136 @@
     return {};
 }
 
+double agent_pool::weightOf(const placement_candidate &candidate,
+                            const placement_request &request) const
+{
+    const auto free = candidate.agent->capacity - candidate.precedingDemand;
+    auto weight = static_cast<double>(std::max<std::uint64_t>(1, free.cpuMillis)) *
+                  candidate.preference * (candidate.chosen ? sharedMessageWeight : 1.0) /
+                  (candidate.slowness * candidate.slowness);
+    if (m_options.lastingSpeeds &&
+        candidate.slowness * (1.0 + request.deviation) > request.maxSlowness) {
+        weight *= unsafeTargetWeight;
+    }
+    return weight;
+}
+
+placement_candidate *agent_pool::chooseWeighted(const weighted_candidates &candidates)
+{
+    double weights = 0;
+    for (const auto &[candidate, weight] : candidates) {
+        weights += weight;
+    }
+    auto draw = std::uniform_real_distribution<double>{0, weights}(m_random);
+    for (const auto &[candidate, weight] : candidates) {
+        if (draw < weight) {
+            return candidate;
+        }
+        draw -= weight;
+    }
+    return candidates.back().first;
+}
+
+duration agent_pool::estimateWait(const placement_candidate &candidate,
+                                  const placement_request &request) const
+{
+    const auto &agent = *candidate.agent;
+    const auto &demand = request.taskStep->demand;
+    if ((candidate.precedingDemand + demand).fitsIn(agent.capacity)) {
+        return {};
+    }
+    const auto reported = agent.reportedDemand(request.priority);
+    const auto drainTime = [&](const resources &amount) {
+        // A full target becomes free once in its mean run time.
+        const auto part = std::max(
+                static_cast<double>(amount.cpuMillis) /
+                        static_cast<double>(std::max<std::uint64_t>(1, agent.capacity.cpuMillis)),
+                static_cast<double>(amount.memoryMb) /
+                        static_cast<double>(std::max<std::uint64_t>(1, agent.capacity.memoryMb)));
+        return duration{static_cast<duration::rep>(
+                part * static_cast<double>(m_meanRunTime.count()) * candidate.slowness)};
+    };
+    if ((reported + demand).fitsIn(agent.capacity)) {
+        // Orders after the report use the capacity. Also a small excess takes the end of a run.
+        return drainTime(candidate.precedingDemand + demand + demand - agent.capacity);
+    }
+    const auto age = m_member.now() - agent.lastReport;
+    return std::max(duration{}, agent.reportedWait(request.priority) - age) +
+           drainTime(candidate.precedingDemand - reported);
+}
+
+bool agent_pool::hasReserve(const placement_candidate &candidate, const placement_request &request)
+{
+    const auto &demand = request.taskStep->demand;
+    return candidate.precedingDemand == resources{} ||
+           (demand + demand).fitsIn(candidate.agent->capacity - candidate.precedingDemand);
+}
+
+bool agent_pool::mayWaitAt(const placement_candidate &candidate, const placement_request &request)
+{
+    const auto &taskStep = *request.taskStep;
+    return (taskStep.maxTasksPerTarget == 0 || candidate.tasks < taskStep.maxTasksPerTarget) &&
+           candidate.agent->incarnation != request.avoidedAgent &&
+           candidate.slowness < slowTargetThreshold;
+}
+
+agent_pool::selection agent_pool::selectForWait(std::vector<placement_candidate> &candidates,
+                                                const placement_request &request) const
+{
+    std::vector<placement_candidate *> possible;
+    for (auto &candidate : candidates) {
+        // What this entry knows of its own agents is recent.
+        if (mayWaitAt(candidate, request) && candidate.assigned) {
+            possible.push_back(&candidate);
+        }
+    }
+    if (possible.empty()) {
+        return {};
+    }
+    const auto shortest = std::ranges::min_element(
+            possible, {}, [&](const auto *candidate) { return estimateWait(*candidate, request); });
+    // The agent expects another wait than this entry: its limit is twice as long, so that it does
+    // not refuse for the difference.
+    const auto wait = estimateWait(**shortest, request);
+    return wait > request.patience ? selection{}
+                                   : selection{*shortest, true, request.patience * 2, wait,
+                                               placement_reason::queue};
+}
+
+agent_pool::selection agent_pool::selectNear(std::vector<placement_candidate> &candidates,
+                                             const placement_request &request, bool anyFree) const
+{
+    selection nearest;
+    nearest.expectedWait = duration::max();
+    auto waitElsewhere = anyFree ? duration{} : duration::max();
+    for (auto &candidate : candidates) {
+        if (!mayWaitAt(candidate, request)) {
+            continue;
+        }
+        const auto wait = estimateWait(candidate, request);
+        if (!candidate.preferred) {
+            waitElsewhere = std::min(waitElsewhere, wait);
+        } else if (wait < nearest.expectedWait) {
+            nearest = {&candidate, true, {}, wait, placement_reason::near};
+        }
+    }
+    if (nearest.candidate == nullptr) {
+        return {};
+    }
+    nearest.maxWait = waitElsewhere == duration::max()
+                              ? request.patience
+                              : longestWaitNear({request.runTime, m_options.distanceFactor,
+                                                 request.deviation, waitElsewhere});
+    return nearest.expectedWait <= nearest.maxWait ? nearest : selection{};
+}
+
 agent_pool::selection agent_pool::selectCandidate(std::vector<placement_candidate> &candidates,
                                                   const placement_request &request)
 {
-    std::vector<std::pair<placement_candidate *, double>> withCapacity;
+    weighted_candidates withCapacity;
+    weighted_candidates nearWithCapacity;
+    weighted_candidates assignedWithCapacity;
     std::vector<placement_candidate *> withOldReport;
-    double weights = 0;
     placement_candidate *fallback = nullptr;
     double fallbackCost = 0;
     const auto &taskStep = *request.taskStep;
@@ -307,15 +510,18 @@
             continue;
         }
         const auto &agent = *candidate.agent;
-        const auto free = agent.capacity - candidate.precedingDemand;
-        if (taskStep.demand.fitsIn(free) && agent.incarnation != request.avoidedAgent &&
-            candidate.slowness < slowTargetThreshold) {
-            const auto weight = static_cast<double>(std::max<std::uint64_t>(1, free.cpuMillis)) *
-                                candidate.preference *
-                                (candidate.chosen ? sharedMessageWeight : 1.0) /
-                                (candidate.slowness * candidate.slowness);
-            withCapacity.emplace_back(&candidate, weight);
-            weights += weight;
+        if (taskStep.demand.fitsIn(agent.capacity - candidate.precedingDemand) &&
+            agent.incarnation != request.avoidedAgent && candidate.slowness < slowTargetThreshold) {
+            const std::pair weighted{&candidate, weightOf(candidate, request)};
+            if (candidate.preferred) {
+                nearWithCapacity.push_back(weighted);
+            }
+            if (candidate.assigned) {
+                assignedWithCapacity.push_back(weighted);
+            }
+            if (!m_options.forecasts || hasReserve(candidate, request)) {
+                withCapacity.push_back(weighted);
+            }
             continue;
         }
         if (request.mayProbe && candidate.currency < probeCurrency &&
@@ -331,21 +537,37 @@
             fallback = &candidate;
         }
     }
-    if (withCapacity.empty() && !withOldReport.empty()) {
-        auto index = std::uniform_int_distribution<std::size_t>{0, withOldReport.size() - 1};
-        return {withOldReport[index(m_random)], true};
+    const auto maxWait = m_options.forecasts ? request.patience : duration{};
+    if (m_options.distanceFactor > 1 && !taskStep.preferredLabel.empty() && request.mayProbe) {
+        if (!nearWithCapacity.empty()) {
+            return {chooseWeighted(nearWithCapacity), true, maxWait, {}, placement_reason::free};
+        }
+        if (const auto nearest = selectNear(candidates, request, !withCapacity.empty());
+            nearest.candidate != nullptr) {
+            return nearest;
+        }
     }
-    if (withCapacity.empty()) {
-        return {fallback, false};
+    if (m_options.forecasts && !assignedWithCapacity.empty()) {
+        return {chooseWeighted(assignedWithCapacity),
+                true,
+                maxWait,
+                {},
+                placement_reason::assigned};
     }
-    auto draw = std::uniform_real_distribution<double>{0, weights}(m_random);
-    for (const auto &[candidate, weight] : withCapacity) {
-        if (draw < weight) {
-            return {candidate, true};
+    if (m_options.forecasts && request.mayProbe) {
+        if (const auto waiting = selectForWait(candidates, request);
+            waiting.candidate != nullptr || withCapacity.empty()) {
+            return waiting;
         }
-        draw -= weight;
     }
-    return {withCapacity.back().first, true};
+    if (!withCapacity.empty()) {
+        return {chooseWeighted(withCapacity), true, maxWait, {}, placement_reason::free};
+    }
+    if (!withOldReport.empty()) {
+        auto index = std::uniform_int_distribution<std::size_t>{0, withOldReport.size() - 1};
+        return {withOldReport[index(m_random)], true, {}, {}, placement_reason::probe};
+    }
+    return {fallback, false, {}, {}, placement_reason::queue};
 }
 
 std::size_t agent_pool::usableAgents(std::string_view service) const
--- a/src/dispatch/dispatch_agent.cpp
+++ b/src/dispatch/dispatch_agent.cpp
@@ -1,5 +1,6 @@
 #include "bamboohead/dispatch/dispatch_agent.hpp"
 #include "bamboohead/dispatch/milliseconds.hpp"
+#include "bamboohead/dispatch/room_forecast.hpp"
 
 #include <algorithm>
 #include <set>
@@ -30,6 +31,15 @@
 /// waits before it submits its job to another entry.
 constexpr duration newDoubtPeriod = std::chrono::seconds{2};
 
+/// Multiple of its longest expected wait after which a queued run is returned: an expected wait
+/// consists of expected run times, which deviate from the real ones by up to their half.
+constexpr int overdueWaitFactor = 2;
+/// Run time that is assumed of runs without an expected one.
+constexpr duration defaultRunTime = std::chrono::milliseconds{200};
+constexpr double perMille = 1'000;
+/// Longer expected waits are reported as this one.
+constexpr duration maxReportedWait = std::chrono::seconds{60};
+
 void toWire(const start_in_doubt &start, time_point now, wire::StartInDoubt &out)
 {
     out.set_target(start.target);
@@ -182,13 +192,102 @@
     if (!demand.fitsIn(room)) {
         return error_kind::no_room;
     }
-    if (!order.immediate()) {
-        room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
-        room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
+    const auto total = m_session.committed() + queuedDemandUpTo(order.priority()) + demand;
+    if (total.fitsIn(room)) {
+        return error_kind::none;
+    }
+    if (order.immediate() && order.max_wait_ms() == 0) {
+        return error_kind::no_room;
+    }
+    const std::chrono::milliseconds maxWait{order.max_wait_ms()};
+    room.cpuMillis += room.cpuMillis * m_options.limits.queuePercent / percent;
+    room.memoryMb += room.memoryMb * m_options.limits.queuePercent / percent;
+    if (!total.fitsIn(room) ||
+        (maxWait > duration{} && expectedWait(order.priority(), demand) > maxWait)) {
+        return error_kind::no_room;
     }
-    return (m_session.committed() + queuedDemandUpTo(order.priority()) + demand).fitsIn(room)
-                   ? error_kind::none
-                   : error_kind::no_room;
+    return error_kind::none;
+}
+
+duration dispatch_agent::expectedHere(const agent_run &run) const
+{
+    const auto expected = run.expected > duration{} ? run.expected : defaultRunTime;
+    const auto ratio = m_slowness.ratio();
+    return ratio <= 0 ? expected
+                      : duration{static_cast<duration::rep>(static_cast<double>(expected.count()) *
+                                                            ratio)};
+}
+
+resources dispatch_agent::meanDemand() const
+{
+    resources sum;
+    for (const auto &[ref, run] : m_runs) {
+        sum += run.demand;
+    }
+    const auto runs = std::max<std::size_t>(1, m_runs.size());
+    return {sum.cpuMillis / runs, sum.memoryMb / runs, sum.accelerators / runs};
+}
+
+duration dispatch_agent::expectedWait(std::optional<std::uint32_t> priority,
+                                      const resources &demand) const
+{
+    std::vector<forecast_run> running;
+    resources used;
+    for (const auto &[ref, run] : m_runs) {
+        if (!run.queued) {
+            used += run.demand;
+            running.push_back(
+                    {run.demand, remainingTime(expectedHere(run), m_session.runningTime(ref))});
+        }
+    }
+    // Runs that the agent does not have, for example those of its predecessor.
+    if (const auto others = m_session.committed() - used; others != resources{}) {
+        running.push_back({others, defaultRunTime});
+    }
+    std::vector<forecast_run> waiting;
+    for (const auto &[key, ref] : m_queue) {
+        if (!priority || std::get<std::uint32_t>(key) > *priority) {
+            break;
+        }
+        const auto &run = m_runs.at(ref);
+        waiting.push_back({run.demand, expectedHere(run)});
+    }
+    return expectedStart(m_session.target()->capacity, std::move(running), waiting, demand);
+}
+
+void dispatch_agent::returnOverdueRuns()
+{
+    std::vector<run_ref> overdue;
+    for (const auto &[key, ref] : m_queue) {
+        const auto &run = m_runs.at(ref);
+        if (run.maxWait > duration{} &&
+            m_member.now() - run.ordered > run.maxWait * overdueWaitFactor) {
+            overdue.push_back(ref);
+        }
+    }
+    for (const auto &ref : overdue) {
+        ++m_counters.runsReturned;
+        const auto &run = m_runs.at(ref);
+        m_member.log("run_returned",
+                     {{"run", toText(ref)},
+                      {"entry", toText(run.entry)},
+                      {"waited_ms", std::to_string(toMilliseconds(m_member.now() - run.ordered))},
+                      {"max_wait_ms", std::to_string(toMilliseconds(run.maxWait))}});
+        endRun(ref, wire::RUN_OUTCOME_REFUSED, error_kind::no_room, {});
+    }
+}
+
+void dispatch_agent::recordRunTime(const agent_run &run, duration runTime)
+{
+    if (!m_session.target()) {
+        return;
+    }
+    const auto &lifetime = m_session.target()->lifetime;
+    if (m_slownessOf != lifetime) {
+        m_slowness.reset();
+        m_slownessOf = lifetime;
+    }
+    m_slowness.record(run.expected, runTime);
 }
 
 void dispatch_agent::handleOrders(incarnation_id entry, const wire::DispatchOrders &message,
@@ -232,6 +331,9 @@
     run.requirements = {order.service(), order.required_label(), order.target(),
                         m_member.now() + std::chrono::milliseconds{order.doubt_ms()}};
     run.suspect = order.suspect();
+    run.expected = std::chrono::milliseconds{order.expected_ms()};
+    run.maxWait = std::chrono::milliseconds{order.max_wait_ms()};
+    run.ordered = m_member.now();
     run.key = {order.priority(), ++m_lastQueueNumber};
     run.expires = m_member.now() + std::chrono::milliseconds{order.remaining_ms()};
     enqueue(ref, run);
@@ -341,6 +443,7 @@
         return;
     }
     refuseUnfitRuns();
+    returnOverdueRuns();
     auto room = m_session.target()->capacity - m_session.committed();
     std::vector<std::pair<queue_key, run_ref>> started;
     // With two suspects, a crash would not show which of them has caused it.
@@ -542,6 +645,7 @@
     }
     switch (end.result) {
     case run_outcome::kind::done:
+        recordRunTime(found->second, end.runTime);
         endRun(end.ref, wire::RUN_OUTCOME_DONE, error_kind::none, end.runTime);
         break;
     case run_outcome::kind::failed:
@@ -557,6 +661,7 @@
         auto &run = found->second;
         if (end.refusal == start_refusal::retry && !run.stopping && m_member.now() < run.expires) {
             run.queued = true;
+            run.maxWait = {}; // it is no longer new at this agent
             enqueue(end.ref, run);
             break;
         }
@@ -825,10 +930,17 @@
     report.set_cleared(m_session.cleared());
     report.set_config_version(m_member.config().revision);
     toWire(m_session.committed(), *report.mutable_running());
+    const auto typical = meanDemand();
     for (const auto &[priority, demand] : m_queued) {
         auto &queued = *report.add_queued();
         queued.set_priority(priority);
         toWire(demand, *queued.mutable_demand());
+        queued.set_wait_ms(
+                toMilliseconds(std::min(expectedWait(priority, typical), maxReportedWait)));
+    }
+    if (m_session.target()) {
+        report.set_room_wait_ms(
+                toMilliseconds(std::min(expectedWait(std::nullopt, typical), maxReportedWait)));
     }
     if (const auto &target = m_session.target(); target && full) {
         report.set_service(target->service);
@@ -837,6 +949,9 @@
         for (const auto &label : target->labels) {
             report.add_labels(label);
         }
+        if (m_slownessOf == target->lifetime) {
+            report.set_slowness_permille(static_cast<std::uint32_t>(m_slowness.ratio() * perMille));
+        }
     }
     m_member.send(entry, std::move(envelope));
 }
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -38,7 +38,7 @@
 dispatch_entry::dispatch_entry(dispatch_entry_options options, const clock &clock)
     : m_options{std::move(options)}
     , m_member{m_options.self, clock}
-    , m_pool{m_member, m_options.seed, m_options.limits.workingSet}
+    , m_pool{m_member, m_options.seed, m_options.limits.workingSet, m_options.limits.placement}
 {
     m_member.addContacts(m_options.contacts);
     m_lastUsableAgent = clock.now();
@@ -56,6 +56,12 @@
         return;
     }
     const incarnation_id sender{envelope.sender()};
+    if (envelope.payload_case() == wire::Envelope::kEntrySync) {
+        // A message may have been queued while this process was suspended. The age counts from the
+        // echoed stamp, so it is too high rather than too low.
+        m_demand.receive(sender, envelope.entry_sync(),
+                         m_member.now() - received.age.value_or(duration{}));
+    }
     const bool reported = envelope.payload_case() == wire::Envelope::kDispatchReport;
     if (reported) {
         handleReport(sender, envelope);
@@ -137,9 +143,12 @@
     agent.cleared = report.cleared();
     agent.running = fromWire(report.running());
     agent.queued.clear();
+    agent.queueWaits.clear();
     for (const auto &queued : report.queued()) {
         agent.queued[queued.priority()] += fromWire(queued.demand());
+        agent.queueWaits[queued.priority()] = std::chrono::milliseconds{queued.wait_ms()};
     }
+    agent.roomWait = std::chrono::milliseconds{report.room_wait_ms()};
     if (report.peer_epoch() == agent.epoch) {
         agent.ordersHandled = std::max(agent.ordersHandled, report.orders_handled());
     }
@@ -148,6 +157,8 @@
         agent.target = report.target();
         agent.capacity = fromWire(report.capacity());
         agent.labels.assign(report.labels().begin(), report.labels().end());
+        constexpr double perMille = 1'000;
+        agent.lastingSlowness = report.slowness_permille() / perMille;
     }
 }
 
@@ -260,7 +271,13 @@
                             [&](const auto &agent) { return m_pool.usable(agent.second); })) {
         m_lastUsableAgent = m_member.now();
     }
-    m_admission.update(std::max(backlog(), measureEventLoopDelay()), m_member.now());
+    const auto eventLoopDelay = measureEventLoopDelay();
+    if (m_options.limits.fleetAdmission) {
+        updateFleetLoad();
+        m_admission.update(eventLoopDelay, m_member.now());
+    } else {
+        m_admission.update(std::max(backlog(), eventLoopDelay), m_member.now());
+    }
     demoteOrRefuseLateJobs();
     evictEndedJobs();
     syncEntries();
@@ -311,10 +328,17 @@
     return std::max<std::int64_t>(1, std::ssize(m_lastSync) / fewEntries);
 }
 
+duration dispatch_entry::syncInterval() const
+{
+    const bool demandDue = m_options.limits.fleetAdmission && m_demand.anyWaiting();
+    const auto interval =
+            demandDue ? m_options.limits.demandInterval : m_options.limits.idleHeartbeatInterval;
+    return std::min(interval * largeFleetFactor(), m_options.limits.standbyHeartbeatInterval);
+}
+
 void dispatch_entry::syncEntries()
 {
-    const auto interval = std::min(m_options.limits.idleHeartbeatInterval * largeFleetFactor(),
-                                   m_options.limits.standbyHeartbeatInterval);
+    const auto interval = syncInterval();
     for (const auto *const peer : m_member.links().peers(wire::ROLE_ENTRY)) {
         auto &last = m_lastSync[peer->incarnation];
         if (m_member.now() - last.message < interval) {
@@ -325,6 +349,9 @@
         addMemberList(*envelope.mutable_entry_sync(), last.memberList);
         envelope.mutable_entry_sync()->set_config_version(m_member.config().revision);
         envelope.mutable_entry_sync()->set_draining(draining());
+        if (m_options.limits.fleetAdmission) {
+            m_demand.addTo(*envelope.mutable_entry_sync(), m_member.now());
+        }
         m_member.send(peer->incarnation, std::move(envelope));
     }
     std::erase_if(m_lastSync,
--- a/src/dispatch/dispatch_entry_jobs.cpp
+++ b/src/dispatch/dispatch_entry_jobs.cpp
@@ -10,7 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration minRetryDelay = 1s;        ///< shortest retry delay in refusals
+constexpr duration minRetryDelay = 1s; ///< shortest retry delay in refusals
+/// Largest random addition to the retry delay in refusals because of an overload. Bursts last for a
+/// few seconds.
+constexpr duration maxRetrySpread = 2s;
 constexpr std::size_t maxEndedJobs = 100'000; ///< ended jobs whose result is kept
 /// Divisor of the entry's equal share of the targets' capacity. The quotient is the lower bound of
 /// the start rate, and the rate that is assumed while no starts have been observed.
@@ -92,6 +95,10 @@
     for (auto before = m_queue.begin(); before != m_queue.end() && *before < key; ++before) {
         backlog += queuedWork(m_jobs.at(std::get<batch_job_id>(*before)));
     }
+    if (const auto room = m_rooms.find(hashOfName(job.route.service)); room != m_rooms.end()) {
+        backlog += m_demand.waitingBefore(room->first, job.route.priority);
+        return timeToStart(room->second.load, backlog);
+    }
     if (backlog == 0) {
         return {};
     }
@@ -172,9 +179,10 @@
     }
     record.submission = std::move(job);
     setObjective(record);
+    m_demand.recordArrival(hashOfName(route.service), hashOfName(route.name), route.priority,
+                           queuedWork(record), m_member.now());
     const auto wait = expectedWait(keyOf(record), record);
-    const auto draw = std::uniform_real_distribution<double>{0, 1}(m_random);
-    if (!m_admission.accepts(draw) || record.received + wait > record.latestStart) {
+    if (!admits(route) || record.received + wait > record.latestStart) {
         refuse(request, id, error_kind::overloaded, wait);
         return;
     }
@@ -225,6 +233,12 @@
 void dispatch_entry::refuse(caller_request request, batch_job_id id, error_kind why,
                             duration retryAfter)
 {
+    retryAfter = std::max(retryAfter, minRetryDelay);
+    if (m_options.limits.fleetAdmission && why == error_kind::overloaded) {
+        // The callers that a burst has refused should not all return at the same time.
+        retryAfter += duration{
+                std::uniform_int_distribution<duration::rep>{0, maxRetrySpread.count()}(m_random)};
+    }
     ++m_counters.refused;
     m_member.log("job_refused", {{"job", toText(id)},
                                  {"reason", std::string{errorInfo(why).name}},
@@ -233,8 +247,7 @@
                                  {"waiting_jobs", std::to_string(m_queue.size())},
                                  {"share", std::to_string(m_admission.share())},
                                  {"retry_ms", std::to_string(toMilliseconds(retryAfter))}});
-    m_member.push(job_reply{
-            request, batch_job_state::failed, why, std::max(retryAfter, minRetryDelay), {}});
+    m_member.push(job_reply{request, batch_job_state::failed, why, retryAfter, {}});
 }
 
 /// Refuses all callers of a job of which no task has started, and ends it.
--- a/src/dispatch/dispatch_entry_placement.cpp
+++ b/src/dispatch/dispatch_entry_placement.cpp
@@ -51,6 +51,17 @@
     }
 }
 
+std::uint64_t dispatch_entry::queuedWorkAt(const agent_view &agent) const
+{
+    std::uint64_t work = 0;
+    for (const auto &[priority, queued] : agent.queued) {
+        const auto mean = m_meanRunTimes.find(priority);
+        const auto time = mean == m_meanRunTimes.end() ? defaultRunTime : mean->second;
+        work += workOf(queued.cpuMillis, time, 1);
+    }
+    return work;
+}
+
 /// Time that the available targets need for all waiting work, in the queue of this entry and at the
 /// agents. The other entries are assumed to have as much work queued as this one. Zero without
 /// available agents and shortly after the start of the process.
@@ -70,11 +81,7 @@
             continue;
         }
         capacity += agent.capacity.cpuMillis;
-        for (const auto &[priority, queued] : agent.queued) {
-            const auto mean = m_meanRunTimes.find(priority);
-            const auto time = mean == m_meanRunTimes.end() ? defaultRunTime : mean->second;
-            work += workOf(queued.cpuMillis, time, 1);
-        }
+        work += queuedWorkAt(agent);
     }
     constexpr double microseconds = 1e6;
     const auto seconds =
@@ -128,6 +135,11 @@
     const auto timeLeft = job.received + job.objective * objectiveFactor - m_member.now();
     request.maxSlowness = static_cast<double>(timeLeft.count()) /
                           static_cast<double>(std::max<duration::rep>(1, expected.count()));
+    request.runTime = expected;
+    request.deviation = m_runTimes.deviation(job.route.name);
+    const auto slack = job.latestStart - m_member.now();
+    request.patience =
+            slack > duration{} ? std::min(slack, m_patience.limit()) : m_patience.limit();
     return request;
 }
 
@@ -171,7 +183,8 @@
             step.waiting.pop_back();
             addOrder(*chosen.agent, job,
                      {stepIndex, index, chosen.free && request.mayProbe, m_crashes.suspect(task),
-                      target.value_or(std::string_view{})});
+                      target.value_or(std::string_view{}), chosen.maxWait, chosen.expectedWait,
+                      chosen.reason});
         }
     }
     return true;
@@ -180,7 +193,7 @@
 /// Adds a run of a task to the next message to `agent`.
 void dispatch_entry::addOrder(agent_view &agent, job_record &job, const task_order &order)
 {
-    const auto [step, index, immediate, suspect, target] = order;
+    const auto [step, index, immediate, suspect, target, maxWait, expectedWait, reason] = order;
     auto &unsent = m_unsentOrders[agent.incarnation];
     if (unsent.orders_size() == 0) {
         unsent.set_number(++agent.ordersSent);
@@ -190,7 +203,7 @@
             unsent.orders_size() == 0 ? nullptr : unsent.mutable_orders(unsent.orders_size() - 1);
     if (group == nullptr || group->job() != id || group->step() != step ||
         group->immediate() != immediate || group->suspect() != suspect ||
-        group->target() != target) {
+        group->target() != target || group->max_wait_ms() != toMilliseconds(maxWait)) {
         group = unsent.add_orders();
         group->set_job(id);
         group->set_step(step);
@@ -203,6 +216,9 @@
         group->set_required_label(job.submission.steps[step].requiredLabel);
         group->set_target(std::string{target});
         group->set_remaining_ms(toMilliseconds(job.expires - m_member.now()));
+        group->set_expected_ms(toMilliseconds(
+                m_runTimes.expected(job.route.name, job.submission.steps[step].estimate)));
+        group->set_max_wait_ms(toMilliseconds(maxWait));
     }
     auto &task = job.steps[step].tasks[index];
     task.state = batch_task_state::ordered;
@@ -232,6 +248,12 @@
     ++job.outstanding;
     job.started = true;
     ++m_counters.runsOrdered;
+    if (!taskStep.preferredLabel.empty()) {
+        const bool near =
+                std::ranges::find(agent.labels, taskStep.preferredLabel) != agent.labels.end();
+        ++(near ? m_counters.runsNear : m_counters.runsAway);
+        m_counters.runsNearAfterWait += reason == placement_reason::near ? 1 : 0;
+    }
     const auto reportAge = toMilliseconds(m_member.now() - agent.lastReport);
     m_member.log("run_ordered",
                  {{"run", toText(ref)},
@@ -241,6 +263,9 @@
                   {"suspect", suspect ? "true" : "false"},
                   {"report_age_ms", std::to_string(reportAge)},
                   {"running_cpu", std::to_string(agent.running.cpuMillis)},
+                  {"reason", std::string{toText(reason)}},
+                  {"expected_wait_ms", std::to_string(toMilliseconds(expectedWait))},
+                  {"max_wait_ms", std::to_string(toMilliseconds(maxWait))},
                   {"waited_ms", std::to_string(toMilliseconds(m_member.now() - job.received))}});
 }
 
--- a/src/dispatch/dispatch_entry_runs.cpp
+++ b/src/dispatch/dispatch_entry_runs.cpp
@@ -65,6 +65,17 @@
                                                         : noRoomPause;
         agent.noOrdersUntil = causedByOrder ? time_point{} : m_member.now() + pause;
     }
+    if (end.outcome() == wire::RUN_OUTCOME_DONE) {
+        m_demand.recordCompletion(hashOfName(agent.service),
+                                  workOf(run.demand.cpuMillis, run.expected, 1), m_member.now());
+    }
+    if (run.immediate) {
+        if (errorFromWire(end.error()) == error_kind::no_room) {
+            m_patience.recordRefusal(m_member.now() - run.ordered);
+        } else {
+            m_patience.recordAcceptance();
+        }
+    }
     const auto found = m_jobs.find(ref.task.job);
     if (found == m_jobs.end()) {
         return;
@@ -106,12 +117,15 @@
     auto &step = job.steps.at(ref.task.step);
     const auto reference = step.meanRunTime(run.expected);
     m_pool.observeRunTime(runTime);
-    agent.slownessEstimate.recordCompletion(reference, runTime, m_member.now());
+    // What the task would have taken on a target of mean speed.
+    const duration nominal{
+            static_cast<duration::rep>(static_cast<double>(runTime.count()) / agent.speedFactor)};
+    agent.slownessEstimate.recordCompletion(reference, nominal, m_member.now());
     // Run times on a slow target say nothing about the accuracy of the declared times.
     if (agent.slownessEstimate.slowness(m_member.now()) < replacementSlowness) {
         m_runTimes.observe(job.route.name, job.submission.steps.at(ref.task.step).estimate,
-                           runTime);
-        step.totalRunTime += runTime;
+                           nominal);
+        step.totalRunTime += nominal;
     } else {
         step.totalRunTime += reference;
     }
@@ -126,7 +140,9 @@
     if (run.stopping || found == m_jobs.end() || found->second.ending) {
         return;
     }
-    const auto nominal = nominalRunTime(found->second, ref, run);
+    const duration nominal{static_cast<duration::rep>(
+            static_cast<double>(nominalRunTime(found->second, ref, run).count()) *
+            agent.speedFactor)};
     agent.slownessEstimate.recordProgress(nominal, runTime, m_member.now());
     if (runTime < nominal * replacementRunTimeFactor ||
         agent.slownessEstimate.slowness(m_member.now()) < replacementSlowness ||
--- a/src/dispatch/load_policy.cpp
+++ b/src/dispatch/load_policy.cpp
@@ -12,6 +12,10 @@
 
 /// Weight of one task in the mean ratio of a route, which averages about 50 tasks.
 constexpr double ratioWeight = 0.02;
+constexpr int lastingTasks = 200; ///< tasks that the lasting slowness of a target averages
+/// Tasks without which the lasting slowness is unknown: the mean of ten has a standard error of
+/// about 0.15 with the run times seen.
+constexpr int minLastingTasks = 10;
 constexpr double minRatio = 0.2; ///< lower bound of the ratio of one task
 constexpr double maxRatio = 5.0; ///< upper bound of the ratio of one task
 /// Weight of one task in the slowness of a target, which averages about 7 tasks.
@@ -49,17 +53,40 @@
         return;
     }
     const auto ratio = std::clamp(quotient(observed, declared), minRatio, maxRatio);
-    auto &mean = m_ratios.try_emplace(std::string{route}, 1.0).first->second;
-    mean += ratioWeight * (ratio - mean);
+    auto &statistics = m_ratios[std::string{route}];
+    statistics.deviation +=
+            ratioWeight * (std::abs(ratio - statistics.mean) - statistics.deviation);
+    statistics.mean += ratioWeight * (ratio - statistics.mean);
 }
 
 duration run_time_model::expected(std::string_view route, duration declared) const
 {
     const auto found = m_ratios.find(std::string{route});
-    const auto ratio = found == m_ratios.end() ? 1.0 : found->second;
+    const auto ratio = found == m_ratios.end() ? 1.0 : found->second.mean;
     return duration{static_cast<duration::rep>(static_cast<double>(declared.count()) * ratio)};
 }
 
+double run_time_model::deviation(std::string_view route) const
+{
+    const auto found = m_ratios.find(std::string{route});
+    return found == m_ratios.end() ? 0.0 : found->second.deviation / found->second.mean;
+}
+
+void lasting_slowness::record(duration expected, duration observed)
+{
+    if (expected <= duration{}) {
+        return;
+    }
+    const auto ratio = std::clamp(quotient(observed, expected), minRatio, maxRatio);
+    m_tasks = std::min(m_tasks + 1, lastingTasks);
+    m_meanLogarithm += (std::log(ratio) - m_meanLogarithm) / m_tasks;
+}
+
+double lasting_slowness::ratio() const
+{
+    return m_tasks < minLastingTasks ? 0.0 : std::exp(m_meanLogarithm);
+}
+
 void slowness_estimate::recordCompletion(duration expected, duration observed, time_point now)
 {
     const auto ratio = std::min(quotient(observed, expected), maxSlowness);
@@ -111,6 +138,31 @@
     return duration{static_cast<duration::rep>(seconds * microsecondsPerSecond)};
 }
 
+void work_rate::record(std::uint64_t work, time_point now)
+{
+    const auto number = now.time_since_epoch() / intervalLength;
+    const auto index = static_cast<std::size_t>(number) % intervals;
+    if (m_numbers.at(index) != number) {
+        m_numbers.at(index) = number;
+        m_work.at(index) = 0;
+    }
+    m_work.at(index) += work;
+}
+
+std::uint64_t work_rate::perSecond(time_point now) const
+{
+    const auto number = now.time_since_epoch() / intervalLength;
+    std::uint64_t sum = 0;
+    for (std::size_t index = 0; index < intervals; ++index) {
+        if (number - m_numbers.at(index) < static_cast<std::int64_t>(intervals)) {
+            sum += m_work.at(index);
+        }
+    }
+    const auto span = now.time_since_epoch() - (number - std::ssize(m_work) + 1) * intervalLength;
+    return sum * static_cast<std::uint64_t>(microsecondsPerSecond) /
+           static_cast<std::uint64_t>(span.count());
+}
+
 void admission_share::update(duration backlog, time_point now)
 {
     m_minBacklog = std::min(m_minBacklog, backlog);
--- a/tests/dispatch/fake_target.cpp
+++ b/tests/dispatch/fake_target.cpp
@@ -69,6 +69,7 @@
     made.zone = "graz";
     made.phase = phase;
     made.capacity = m_capacity;
+    made.labels = labels;
     made.clockMs = clockMs(now);
     return made;
 }
--- a/tests/dispatch/fake_target.hpp
+++ b/tests/dispatch/fake_target.hpp
@@ -56,10 +56,11 @@
     [[nodiscard]] const resources &capacity() const noexcept { return m_capacity; }
 
     target_phase phase = target_phase::serving;
-    double clockRate = 1.0; ///< speed of the target's clock relative to the test's
-    double slowness = 1.0;  ///< factor by which run times are multiplied
-    bool hangs = false;     ///< whether newly started runs never end by themselves
-    bool failsAll = false;  ///< whether all runs that end by themselves from now on end as failed
+    double clockRate = 1.0;          ///< speed of the target's clock relative to the test's
+    std::vector<std::string> labels; ///< of later status reports
+    double slowness = 1.0;           ///< factor by which run times are multiplied
+    bool hangs = false;              ///< whether newly started runs never end by themselves
+    bool failsAll = false; ///< whether all runs that end by themselves from now on end as failed
     std::size_t maxListedEnds = 500; ///< ends in a listing; later listings contain the others
     run_listener onStart;            ///< called when a run starts
     std::function<void(const run_ref &, run_end_kind)> onRemoved; ///< called when a run ends
--- a/tests/dispatch/fleet_simulation.cpp
+++ b/tests/dispatch/fleet_simulation.cpp
@@ -53,12 +53,18 @@
     for (unsigned number = 0; number < chosen.agents; ++number) {
         m_targets.push_back(std::make_unique<fake_target>(
                 "i-" + std::to_string(number), targetCapacity,
-                [this](const run_ref &ref) {
+                [this, number](const run_ref &ref) {
                     const auto &step = m_jobs.at(ref.task.job).submission.steps.at(ref.task.step);
-                    return task_plan{step.demand, step.estimate, false};
+                    return task_plan{step.demand, runTimeOn(number, ref), false};
                 },
                 now()));
         auto *const target = m_targets.back().get();
+        if (chosen.targetsPerRack > 0) {
+            target->labels = {"r" + std::to_string(number / chosen.targetsPerRack)};
+        }
+        if (!chosen.slowness.empty()) {
+            target->slowness = chosen.slowness[number % chosen.slowness.size()];
+        }
         target->onStart = [this, target](const run_ref &ref) { handleRunStart(ref, *target); };
         target->onRemoved = [this](const run_ref &ref, run_end_kind kind) {
             handleRunRemoval(ref, kind);
@@ -75,6 +81,22 @@
 
 fleet_simulation::~fleet_simulation() = default;
 
+duration fleet_simulation::runTimeOn(unsigned target, const run_ref &ref) const
+{
+    const auto &step = m_jobs.at(ref.task.job).submission.steps.at(ref.task.step);
+    constexpr int longTaskFactor = 7;
+    constexpr unsigned percent = 100;
+    const auto draw =
+            (static_cast<std::uint64_t>(ref.task.job) * 31 + ref.task.index * 7) % percent;
+    const auto time = step.estimate * (draw < m_options.longTaskPercent ? longTaskFactor : 1);
+    const bool away = !step.preferredLabel.empty() &&
+                      std::ranges::find(m_targets[target]->labels, step.preferredLabel) ==
+                              m_targets[target]->labels.end();
+    return away ? duration{static_cast<duration::rep>(static_cast<double>(time.count()) *
+                                                      m_options.distanceFactor)}
+                : time;
+}
+
 // Processes
 
 std::string fleet_simulation::entryName(unsigned number) const
@@ -529,20 +551,30 @@
     attempt(id);
 }
 
-void fleet_simulation::attempt(batch_job_id id)
+/// @return Null when no entry runs.
+fleet_simulation::process *fleet_simulation::chooseEntry()
 {
-    auto &job = m_jobs.at(id);
     std::vector<process *> entries;
-    for (auto &[endpoint, subject] : m_processes) {
+    for (unsigned number = 0; number < m_options.entries; ++number) {
+        const auto &subject = m_processes.at(entryName(number));
+        const auto weight =
+                m_options.callerWeights.empty() ? 1 : m_options.callerWeights.at(number);
         if (subject->entry) {
-            entries.push_back(subject.get());
+            entries.insert(entries.end(), weight, subject.get());
         }
     }
-    if (entries.empty()) {
+    return entries.empty() ? nullptr : entries[random(static_cast<unsigned>(entries.size()))];
+}
+
+void fleet_simulation::attempt(batch_job_id id)
+{
+    auto &job = m_jobs.at(id);
+    auto *const receiving = chooseEntry();
+    if (receiving == nullptr) {
         scheduleRetry(id);
         return;
     }
-    auto &chosen = *entries[random(static_cast<unsigned>(entries.size()))];
+    auto &chosen = *receiving;
     const caller_request request{++m_lastRequest};
     m_requests.emplace(request, std::pair{id, chosen.endpoint});
     ++job.attempts;
@@ -690,6 +722,9 @@
         reportViolation("a task of a refused job was started");
     }
     ++m_startsByJob[ref.task.job];
+    if (auto &first = m_jobs.at(ref.task.job).firstStart; !first) {
+        first = now();
+    }
     if (m_crashesByTask[ref.task] >= 3 && ++m_startsAfterThreeCrashes[ref.task] == 3) {
         reportViolation("task " + toText(ref) + " was started three times after three crashes");
     }
@@ -709,6 +744,18 @@
     }
 }
 
+std::pair<std::uint64_t, std::uint64_t> fleet_simulation::orders() const
+{
+    std::pair<std::uint64_t, std::uint64_t> sum;
+    for (const auto &[endpoint, subject] : m_processes) {
+        if (subject->entry) {
+            sum.first += subject->entry->counters().runsOrdered;
+            sum.second += subject->entry->counters().runsRefused;
+        }
+    }
+    return sum;
+}
+
 std::size_t fleet_simulation::startsOf(batch_job_id job) const
 {
     const auto found = m_startsByJob.find(job);
--- a/tests/dispatch/fleet_simulation.hpp
+++ b/tests/dispatch/fleet_simulation.hpp
@@ -40,6 +40,7 @@
     bool open = false;                     ///< a submission has no answer yet; nothing reads it
     time_point submitted;                  ///< time of the first submission
     time_point answered;                   ///< when `answer` was received
+    std::optional<time_point> firstStart;  ///< when the first run of a task started
 
     /// @brief Whether the job has succeeded within its response-time objective.
     [[nodiscard]] bool inObjective() const;
@@ -76,6 +77,16 @@
         bool store = false;
         bool trace = false;         ///< prints the log lines of all processes, for debugging
         duration tickLength = 10ms; ///< interval at which the processes handle their inputs
+        /// Weight of each entry in the choice of the entry of a job; empty: all are alike.
+        std::vector<unsigned> callerWeights;
+        /// Number of targets of a rack; 0: targets have no labels. The racks are `r0`, `r1`, ...
+        unsigned targetsPerRack = 0;
+        /// Factor by which the run time of a task is longer away from the rack that it prefers.
+        double distanceFactor = 1.0;
+        /// Factors of the run times on the targets, in turn; empty: all are alike.
+        std::vector<double> slowness;
+        /// Part of the tasks whose run time is multiplied by 7, in percent.
+        unsigned longTaskPercent = 0;
     };
 
     explicit fleet_simulation(options chosen);
@@ -143,6 +154,8 @@
     [[nodiscard]] std::size_t runningTasks() const;
     /// @brief Number of runs started so far.
     [[nodiscard]] std::size_t starts() const { return m_starts; }
+    /// @brief Orders of all entries, and how many of them agents have refused.
+    [[nodiscard]] std::pair<std::uint64_t, std::uint64_t> orders() const;
     /// @brief Number of crashes that runs with `deadlySpec` have caused so far.
     [[nodiscard]] std::size_t crashes() const { return m_crashes; }
     /// @brief Number of runs of a job started so far.
@@ -154,6 +167,9 @@
     struct process;
     struct world_event; ///< not defined or used
 
+    /// Run time of a task on a target, without the target's own slowness.
+    [[nodiscard]] duration runTimeOn(unsigned target, const run_ref &ref) const;
+    [[nodiscard]] process *chooseEntry();
     void addEntry(unsigned number);
     void addAgent(unsigned number);
     void startProcess(process &subject);
--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -194,6 +194,32 @@
     }
 }
 
+// The same faults with decisions from the demand of all entries and with limited waits at full
+// targets: a run that an agent returns has not started, and what an entry or agent knew of others
+// when it failed has no effect.
+TEST_CASE("dispatch schedule: under random faults with fleet admission and forecasts no task runs "
+          "twice at once")
+{
+    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(defaultSeeds); ++seed) {
+        CAPTURE(seed);
+        fleet_simulation::options options;
+        options.seed = seed;
+        options.trace = std::getenv("DISPATCH_TRACE") != nullptr;
+        options.entryLimits.fleetAdmission = true;
+        options.entryLimits.placement = {true, true, 1.5};
+        options.targetsPerRack = 2;
+        options.slowness = {1.0, 0.7, 1.6};
+        const auto result = runSchedule(options);
+        for (const auto &violation : result.violations) {
+            CAPTURE(violation);
+            CHECK(false);
+        }
+        CHECK(result.runningAtEnd == 0);
+        CHECK(result.unservedJobs == 0);
+        CHECK(result.starts > 0);
+    }
+}
+
 // Guards against a silence that is counted from other events than the rights of runs: the entry
 // counts from the handling of a message, the agent from the sending of the stamp that the entry has
 // echoed, and messages may wait in queues between the two.
--- a/tests/load_policy_test.cpp
+++ b/tests/load_policy_test.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/dispatch/load_policy.hpp"
 
+#include "bamboohead/clock.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace bamboohead;
@@ -106,3 +108,47 @@
 {
     CHECK(workOf(3'000, 500ms, 4) == 6'000);
 }
+
+TEST_CASE("work rate: the last half second counts")
+{
+    manual_clock clock;
+    work_rate rate;
+    CHECK(rate.perSecond(clock.now()) == 0);
+    for (int count = 0; count < 100; ++count) {
+        clock.advance(20ms);
+        rate.record(20, clock.now());
+    }
+    CHECK(rate.perSecond(clock.now()) >= 950);
+    CHECK(rate.perSecond(clock.now()) <= 1'050);
+    clock.advance(300ms);
+    CHECK(rate.perSecond(clock.now()) < 600);
+    clock.advance(400ms);
+    CHECK(rate.perSecond(clock.now()) == 0);
+}
+
+// Pattern: sound targets of different speeds, with run times of a long tail. Guards against an
+// estimate that forgets within seconds, and one that a few long tasks mislead.
+TEST_CASE("lasting slowness: the speed of a target stays known, and long tasks count little")
+{
+    lasting_slowness slow;
+    CHECK(slow.ratio() == 0);
+    for (int count = 0; count < 100; ++count) {
+        slow.record(100ms, count % 20 == 0 ? 1'050ms : 150ms);
+    }
+    CHECK(slow.ratio() > 1.4);
+    CHECK(slow.ratio() < 1.75);
+    slow.reset();
+    CHECK(slow.ratio() == 0);
+    slow.record(0ms, 100ms);
+    CHECK(slow.ratio() == 0);
+}
+
+TEST_CASE("run time model: the deviation of a route is known")
+{
+    run_time_model model;
+    CHECK(model.deviation("a") == 0);
+    for (int count = 0; count < 500; ++count) {
+        model.observe("a", 100ms, count % 2 == 0 ? 50ms : 150ms);
+    }
+    CHECK(model.deviation("a") == doctest::Approx(0.5).epsilon(0.1));
+}
