--- a/tests/dispatch_schedule_test.cpp
+++ b/tests/dispatch_schedule_test.cpp
@@ -118,6 +118,18 @@
     return result;
 }
 
+void checkSchedule(const fleet_simulation::options &options)
+{
+    const auto result = runSchedule(options);
+    for (const auto &violation : result.violations) {
+        CAPTURE(violation);
+        CHECK(false);
+    }
+    CHECK(result.runningAtEnd == 0);
+    CHECK(result.unservedJobs == 0);
+    CHECK(result.starts > 0);
+}
+
 std::size_t violationsWith(fleet_simulation::options options, std::uint64_t seeds)
 {
     std::size_t count = 0;
@@ -183,14 +195,7 @@
         fleet_simulation::options options;
         options.seed = seed;
         options.trace = std::getenv("DISPATCH_TRACE") != nullptr;
-        const auto result = runSchedule(options);
-        for (const auto &violation : result.violations) {
-            CAPTURE(violation);
-            CHECK(false);
-        }
-        CHECK(result.runningAtEnd == 0);
-        CHECK(result.unservedJobs == 0);
-        CHECK(result.starts > 0);
+        checkSchedule(options);
     }
 }
 
@@ -209,14 +214,7 @@
         options.entryLimits.placement = {true, true, 1.5};
         options.targetsPerRack = 2;
         options.slowness = {1.0, 0.7, 1.6};
-        const auto result = runSchedule(options);
-        for (const auto &violation : result.violations) {
-            CAPTURE(violation);
-            CHECK(false);
-        }
-        CHECK(result.runningAtEnd == 0);
-        CHECK(result.unservedJobs == 0);
-        CHECK(result.starts > 0);
+        checkSchedule(options);
     }
 }
 
