Replace connections on which a peer receives nothing

A connection was replaced only when no message of the peer had arrived for 7 s; the agents' messages did arrive, until they had forgotten the entry.

Change: a transport keeps the first message of a connection that the peer has not echoed. When three messages of the peer have arrived without that echo and 5 s have passed, the connection is replaced. The new test fails on the old code (no connection is replaced).

The cases on first messages use a manual clock that stays below the 500 ms of connectGrace, so that their verdict does not depend on how fast a busy machine connects. They wait for the same message, up to 5 s as before.

--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -24,6 +24,11 @@
 ///        replaced. Processes send each other messages more often.
 inline constexpr duration peerSilenceLimit = std::chrono::seconds{7};
 
+/// @brief Time after which the connection to a peer is replaced when messages of the peer arrive,
+///        but echo no message that was sent to it in this time. It is longer than the interval
+///        between two messages of a peer, whose echo is one interval old.
+inline constexpr duration peerUnheardLimit = std::chrono::seconds{5};
+
 /// @brief Time that messages wait for the first connection to a peer before they are dropped. A new
 ///        connection takes a few round trips, and ZeroMQ rejects messages before it is up.
 inline constexpr duration connectGrace = std::chrono::milliseconds{500};
@@ -46,11 +51,12 @@
     std::uint64_t malformed = 0; ///< received, but not a valid envelope
     /// Not sent: queue full, peer unreachable, message too long or endpoint malformed.
     std::uint64_t dropped = 0;
-    std::uint64_t peersOpened = 0;      ///< outgoing sockets, also to peers that were never reached
-    std::uint64_t peersClosed = 0;      ///< outgoing sockets closed because they were idle
-    std::uint64_t peersReconnected = 0; ///< outgoing sockets replaced because the peer was silent
-    traffic_by_kind sentByKind;         ///< split of `sent`; dropped messages are not counted
-    traffic_by_kind receivedByKind;     ///< split of `received`
+    std::uint64_t peersOpened = 0; ///< outgoing sockets, also to peers that were never reached
+    std::uint64_t peersClosed = 0; ///< outgoing sockets closed because they were idle
+    /// Outgoing sockets replaced because the peer was silent, or did not receive messages.
+    std::uint64_t peersReconnected = 0;
+    traffic_by_kind sentByKind;     ///< split of `sent`; dropped messages are not counted
+    traffic_by_kind receivedByKind; ///< split of `received`
 };
 
 /// @brief Result of transport::wait().
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -31,6 +31,9 @@
 constexpr int keepAliveIdle = 30;
 constexpr int keepAliveInterval = 10;
 constexpr int keepAliveProbes = 3;
+/// Messages of a peer without an echo of ours from which our connection to it does not work. One or
+/// two may have been sent before ours arrived.
+constexpr int minUnheardAnswers = 3;
 /// Minimum time between two passes of maintain().
 constexpr duration maintenanceInterval = std::chrono::milliseconds{10};
 
@@ -42,6 +45,14 @@
     time_point since;     ///< time of the call to send()
 };
 
+/// The first message on a connection that the peer has not echoed yet.
+struct unheard_message
+{
+    std::uint64_t stamp = 0;
+    time_point sent;
+    int answers = 0; ///< messages of the peer since then
+};
+
 /// Outgoing connection to one endpoint.
 struct peer
 {
@@ -50,6 +61,7 @@
     bool wasConnected = false; ///< the connection was up at least once
     /// When the newest message of this peer was received; none since the socket was opened.
     std::optional<time_point> lastReceived;
+    std::optional<unheard_message> unheard;
     std::deque<pending_message> pending;
     std::size_t pendingBytes = 0;
 };
@@ -119,6 +131,9 @@
             return;
         }
         recipient->lastUsed = m_clock.now();
+        if (!recipient->unheard) {
+            recipient->unheard = unheard_message{envelope.stamp_us(), m_clock.now()};
+        }
         const auto kind = messageKind(envelope);
         if (recipient->pending.empty() && trySend(recipient->socket, payload)) {
             recipient->wasConnected = true;
@@ -169,8 +184,10 @@
         }
         m_lastMaintenance = now;
         for (auto &[endpoint, recipient] : m_peers) {
-            if (recipient.lastReceived && now - *recipient.lastReceived >= peerSilenceLimit &&
-                now - recipient.lastUsed < peerSilenceLimit) {
+            const bool silent = recipient.lastReceived &&
+                                now - *recipient.lastReceived >= peerSilenceLimit &&
+                                now - recipient.lastUsed < peerSilenceLimit;
+            if (silent || isUnheard(recipient, now)) {
                 reconnect(endpoint, recipient);
             }
             sendPending(recipient, now);
@@ -222,8 +239,30 @@
         });
     }
 
-    /// Replaces the connection to a peer that has fallen silent: the peer may have restarted, or
-    /// the path was interrupted, without an end of the connection that TCP would notice soon.
+    /// Whether a peer sends messages, but has received none on this connection for a while. The
+    /// path may be interrupted in one direction.
+    static bool isUnheard(const peer &recipient, time_point now)
+    {
+        return recipient.unheard && recipient.unheard->answers >= minUnheardAnswers &&
+               now - recipient.unheard->sent >= peerUnheardLimit;
+    }
+
+    /// Records which of the messages to a peer have arrived there.
+    static void recordAnswer(peer &sender, const wire::Envelope &envelope)
+    {
+        if (!sender.unheard) {
+            return;
+        }
+        if (envelope.echo_us() >= sender.unheard->stamp) {
+            sender.unheard.reset();
+        } else {
+            ++sender.unheard->answers;
+        }
+    }
+
+    /// Replaces the connection to a peer that has fallen silent or does not receive messages: the
+    /// peer may have restarted, or the path was interrupted, without an end of the connection that
+    /// TCP would notice soon.
     /// When no socket can be opened, the connection is kept and replaced by a later pass.
     void reconnect(const std::string &endpoint, peer &recipient)
     {
@@ -235,6 +274,7 @@
         }
         recipient.wasConnected = false;
         recipient.lastReceived.reset();
+        recipient.unheard.reset();
         ++m_counters.peersReconnected;
     }
 
@@ -307,6 +347,7 @@
         ++m_counters.received;
         if (const auto from = m_peers.find(envelope.endpoint()); from != m_peers.end()) {
             from->second.lastReceived = m_clock.now();
+            recordAnswer(from->second, envelope);
         }
         count(m_counters.receivedByKind, messageKind(envelope), payload.size());
         receive(envelope);
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -125,8 +125,9 @@
     # Stops the data of 40 % of the open connections permanently, without closing them.
     async def mute(self, seconds):
         for process in self.run.fleet.processes:
-            # ZeroMQ's heartbeats (interval 2 s, time-out 5 s) close a muted message connection within about 7 s. A
-            # muted connection to the store is closed when a call on it times out.
+            # A process replaces its message connection to a peer after 7 s without a message of the peer, or after 5 s
+            # in which the peer's messages show that it receives none. A muted connection to the store is closed when a
+            # call on it times out.
             self.exempt(process, 10.0)
             process.message_proxy.mute(0.4, self.random)
             process.store_proxy.mute(0.4, self.random)
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -25,14 +25,19 @@
     return envelope;
 }
 
-/// Waits for one message at `receiver` while `sender` sends its pending messages.
-/// @return The stamp of the message, or nothing when none arrived.
-std::optional<std::uint64_t> receiveStamp(transport &receiver, transport &sender)
+/// Waits for one message at `receiver` while `sender` sends its pending messages. The clock of both
+/// stays below connectGrace, however long a busy machine takes to connect them.
+/// @return The stamp of the message, or nothing when none arrived within 5 s.
+std::optional<std::uint64_t> receiveStamp(transport &receiver, transport &sender,
+                                          manual_clock &clock)
 {
+    constexpr duration longPoll = std::chrono::milliseconds{125};
+    constexpr int longPolls = 40;
     std::optional<std::uint64_t> stamp;
-    for (int i = 0; i < maxPolls && !stamp; ++i) {
+    for (int i = 0; i < longPolls && !stamp; ++i) {
+        clock.advance(std::chrono::milliseconds{10}); // the shortest interval of maintain()
         sender.maintain();
-        receiver.wait(pollInterval, -1, -1);
+        receiver.wait(longPoll, -1, -1);
         receiver.receiveAll([&](const wire::Envelope &envelope) { stamp = envelope.stamp_us(); },
                             1);
     }
@@ -123,13 +128,13 @@
 // delay discovery until the next discovery message.
 TEST_CASE("messages arrive in both directions, including the first one")
 {
-    const steady_clock_source clock;
+    manual_clock clock;
     transport a{anyPort, clock};
     transport b{anyPort, clock};
     a.send(b.endpoint(), envelopeWith(1));
-    CHECK(receiveStamp(b, a) == 1);
+    CHECK(receiveStamp(b, a, clock) == 1);
     b.send(a.endpoint(), envelopeWith(2));
-    CHECK(receiveStamp(a, b) == 2);
+    CHECK(receiveStamp(a, b, clock) == 2);
     CHECK(a.counters().sent == 1);
     CHECK(a.counters().received == 1);
     CHECK(a.counters().dropped == 0);
@@ -139,13 +144,13 @@
 // their bytes. The figures of docs/CAPACITY.md depend on these counters.
 TEST_CASE("messages and their bytes are counted by kind at both ends, including queued messages")
 {
-    const steady_clock_source clock;
+    manual_clock clock;
     transport a{anyPort, clock};
     transport b{anyPort, clock};
     auto envelope = envelopeWith(1);
     envelope.mutable_config_push()->set_manifest("{}");
     a.send(b.endpoint(), envelope);
-    REQUIRE(receiveStamp(b, a) == 1);
+    REQUIRE(receiveStamp(b, a, clock) == 1);
     const auto kind = messageKind(envelope);
     REQUIRE(messageKinds.at(kind) == "config_push");
     CHECK(a.counters().sentByKind[kind].messages == 1);
@@ -160,12 +165,12 @@
 TEST_CASE("messages to a peer that ended are dropped and counted, and its replacement receives "
           "messages")
 {
-    const steady_clock_source clock;
+    manual_clock clock;
     transport a{anyPort, clock};
     auto b = std::make_unique<transport>(anyPort, clock);
     const auto endpoint = b->endpoint();
     a.send(endpoint, envelopeWith(1));
-    REQUIRE(receiveStamp(*b, a) == 1);
+    REQUIRE(receiveStamp(*b, a, clock) == 1);
     b.reset();
     std::uint64_t sends = 0;
     const bool dropped = pollUntil(a, [&] {
@@ -242,6 +247,37 @@
     CHECK(a.counters().peersReconnected == 1);
 }
 
+// Guards against messages that are sent for more than 15 s on a connection whose data no longer
+// arrives, because the messages of the peer, on its own connection, still do.
+TEST_CASE("the connection to a peer that echoes no message is replaced")
+{
+    manual_clock clock;
+    transport a{anyPort, clock};
+    transport b{anyPort, clock};
+    const auto exchange = [&](std::uint64_t stamp, std::uint64_t echo) {
+        a.send(b.endpoint(), envelopeWith(stamp));
+        auto answer = envelopeWith(stamp);
+        answer.set_endpoint(b.endpoint());
+        answer.set_echo_us(echo);
+        b.send(a.endpoint(), answer);
+        REQUIRE(receiveStamp(a, b, clock) == stamp);
+        clock.advance(std::chrono::seconds{1});
+        a.maintain();
+    };
+    for (std::uint64_t stamp = 1; stamp <= 10; ++stamp) {
+        exchange(stamp, stamp - 1); // each message is echoed by the next one
+    }
+    CHECK(a.counters().peersReconnected == 0);
+    for (std::uint64_t stamp = 11; stamp <= 14; ++stamp) {
+        exchange(stamp, 10);
+    }
+    CHECK(a.counters().peersReconnected == 0);
+    for (std::uint64_t stamp = 15; stamp <= 17; ++stamp) {
+        exchange(stamp, 10);
+    }
+    CHECK(a.counters().peersReconnected == 1);
+}
+
 // Guards against crashes and wrong decisions due to bytes that are not an envelope.
 TEST_CASE("malformed messages are dropped and counted")
 {
