Refuse forecast placement without the demand of the fleet

Agents are assigned to entries by the demand figures that entries exchange, so /dispatch/placement = forecast with /dispatch/admission = entry assigned none, and tasks waited at their entry. The settings are now checked together after each is valid by itself.

--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -184,6 +184,18 @@
     }
 }
 
+/// Adds the faults of settings that are valid one by one, but not together.
+void findContradictions(const process_settings &settings, std::vector<config_error> &faults)
+{
+    const auto &dispatch = settings.dispatch;
+    if (dispatch.forecastPlacement && !dispatch.fleetAdmission) {
+        faults.push_back(
+                {"/dispatch/placement",
+                 "\"forecast\" needs /dispatch/admission \"fleet\": agents are assigned to "
+                 "entries by the demand that all entries exchange"});
+    }
+}
+
 std::string referenceRow(const setting_description &row)
 {
     std::ostringstream line;
@@ -217,6 +229,9 @@
     for (const auto &row : settingDescriptions()) {
         readSetting(row, *root, settings, faults);
     }
+    if (faults.empty()) {
+        findContradictions(settings, faults);
+    }
     if (!faults.empty()) {
         return faults;
     }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -60,6 +60,19 @@
     CHECK(settings->entry.store == std::vector<std::string>{"127.0.0.1:2379"});
 }
 
+// Guards against an entry that forecasts waits but has no agents assigned to it.
+TEST_CASE("settings that need each other are checked together")
+{
+    const std::string common =
+            R"({"zone": "graz", "endpoint": "tcp://127.0.0.1:7001", "http": {"port": 8001}, )";
+    const auto alone = faultsOf(common + R"("dispatch": {"placement": "forecast"}})");
+    REQUIRE(alone.size() == 1);
+    CHECK(alone.front().path == "/dispatch/placement");
+    CHECK(faultsOf(common + R"("dispatch": {"placement": "forecast", "admission": "fleet"}})")
+                  .empty());
+    CHECK(faultsOf(common + R"("dispatch": {"admission": "fleet"}})").empty());
+}
+
 // Guards against validation that stops at the first fault, and against values that are not
 // validated.
 TEST_CASE("all faults are reported together, with path, value and allowed range")
