Review a configuration before it is sent

Only errors make the command fail, as before.

src/config_review finds and reports; src/dispatch/route_review knows how entries match routes and which limits no job can keep; platform/configuration_review translates the platform's words. Lists of named entries are compared by name, so that a new order is no change.

Ruled out: reporting unknown keys of the desired state, because the platform has members that entries do not use; reading the version in force from a store, because `manifest get` prints it.

--- a/src/commands/manifest.cpp
+++ b/src/commands/manifest.cpp
@@ -1,5 +1,7 @@
 #include "bamboohead/commands.hpp"
+#include "bamboohead/config_review.hpp"
 #include "manifest_change.hpp"
+#include "platform/configuration_review.hpp"
 
 #include <iostream>
 #include <optional>
@@ -10,20 +12,39 @@
 
 int checkFile(int argc, char **argv)
 {
-    return runCommand(argc, argv, "Validates a manifest file and prints all faults.",
-                      [](TCLAP::CmdLine &line, int count, char **values) {
-                          TCLAP::UnlabeledValueArg<std::string> file{"FILE", "Manifest.", true,
-                                                                     "",     "FILE",      line};
-                          line.parse(count, values);
-                          const auto parsed = parseManifest(readFile(file.getValue()));
-                          if (const auto *faults =
-                                      std::get_if<std::vector<config_error>>(&parsed)) {
-                              printFaults(file.getValue(), *faults);
-                              return exit_failed;
-                          }
-                          std::cout << file.getValue() << ": valid\n";
-                          return exit_ok;
-                      });
+    return runCommand(
+            argc, argv,
+            "Reviews a configuration before it is sent: errors, entries that are never used, "
+            "values "
+            "that contradict each other, and changes. Only errors make the command fail.",
+            [](TCLAP::CmdLine &line, int count, char **values) -> int {
+                TCLAP::UnlabeledValueArg<std::string> file{"FILE", "Configuration.", true,
+                                                           "",     "FILE",           line};
+                TCLAP::ValueArg<std::string> inForce{
+                        "",    "in-force", "Configuration in force; prints what differs from it.",
+                        false, "",         "FILE",
+                        line};
+                TCLAP::SwitchArg platform{
+                        "", "platform",
+                        "The file is the users' platform's desired state (op/config), not a "
+                        "manifest.",
+                        line};
+                TCLAP::SwitchArg json{"", "json", "Prints the report as JSON.", line};
+                line.parse(count, values);
+                const auto text = readFile(file.getValue());
+                const auto old = inForce.isSet() ? std::optional{readFile(inForce.getValue())}
+                                                 : std::nullopt;
+                const auto findings = platform.getValue() ? platform::reviewConfiguration(text, old)
+                                                          : reviewManifest(text, old);
+                const auto valid = isValid(findings);
+                if (json.getValue()) {
+                    std::cout << jsonReport(file.getValue(), findings) << "\n";
+                } else {
+                    (valid ? std::cout : std::cerr) << textReport(file.getValue(), findings);
+                    std::cout << (valid ? file.getValue() + ": valid\n" : "");
+                }
+                return valid ? exit_ok : exit_failed;
+            });
 }
 
 int getManifest(int argc, char **argv)
--- a/src/manifest.cpp
+++ b/src/manifest.cpp
@@ -1,9 +1,11 @@
 #include "bamboohead/manifest.hpp"
 
+#include "bamboohead/detail/config/json_difference.hpp"
 #include "bamboohead/detail/config/json_scan.hpp"
+#include "bamboohead/detail/config/json_text.hpp"
 
-#include <boost/json/serialize.hpp>
-#include <boost/json/stream_parser.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/string.hpp>
 
 #include <algorithm>
 #include <array>
@@ -16,8 +18,6 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t maxQuotedLength = 60; ///< characters of an invalid value in a message
-constexpr int maxDepth = 16;                ///< of nested JSON objects and arrays
 constexpr std::array<std::string_view, 2> zoneStateNames{"in", "out"};
 
 /// Allowed range of a number, both bounds included.
@@ -33,15 +33,7 @@
 constexpr number_range deadlineRange{1, 600'000, "ms"};
 constexpr number_range runningRange{0, 10'000'000, "tasks, 0 means no limit"};
 
-std::string quoted(const json::value &value)
-{
-    auto text = json::serialize(value);
-    if (text.size() > maxQuotedLength) {
-        text.resize(maxQuotedLength);
-        text += "...";
-    }
-    return text;
-}
+using detail::quoted;
 
 /// Converts parsed JSON to a manifest and collects all errors on the way.
 class manifest_reader
@@ -198,15 +190,6 @@
     std::vector<config_error> m_errors;
 };
 
-std::string lineAndColumn(std::string_view text, std::size_t offset)
-{
-    const auto before = text.substr(0, offset);
-    const auto line = 1 + std::ranges::count(before, '\n');
-    const auto lineStart = before.rfind('\n');
-    const auto column = lineStart == std::string_view::npos ? offset + 1 : offset - lineStart;
-    return "line " + std::to_string(line) + ", column " + std::to_string(column);
-}
-
 std::variant<json::value, config_error> parseText(std::string_view text)
 {
     if (text.size() > maxManifestBytes) {
@@ -214,20 +197,14 @@
                                         " bytes; allowed: at most " +
                                         std::to_string(maxManifestBytes) + " bytes"};
     }
-    json::parse_options options;
-    options.allow_comments = true;
-    options.max_depth = maxDepth;
-    json::stream_parser parser{{}, options};
-    json::error_code error;
-    const auto offset = parser.write(text.data(), text.size(), error);
-    if (!error) {
-        parser.finish(error);
-    }
-    if (error) {
-        return config_error{"", "not valid JSON near " + lineAndColumn(text, offset) + ": " +
-                                        error.message()};
+    auto parsed = detail::parseJsonText(text, detail::json_comments::allowed);
+    if (const auto *const error = std::get_if<detail::syntax_error>(&parsed)) {
+        const auto position = detail::positionAt(text, error->offset);
+        return config_error{"", "not valid JSON near line " + std::to_string(position.line) +
+                                        ", column " + std::to_string(position.column) + ": " +
+                                        error->message};
     }
-    return parser.release();
+    return std::get<json::value>(std::move(parsed));
 }
 
 } // namespace
