Use a free slow target when a wait elsewhere ends later

Cause: with forecasts, a task that found no free target waited for an assigned agent, or at the entry. A target with a slowness of 2 or more was never used, although tasks with enough time would have met their objective on it, and immediate placement did use it once no other was free. On a small installation (11 targets, two of them slow, some suspected as slow after lost responses) four of nine sound targets were idle for a second, the backlog stood at 300 ms and its jobs were refused.

Change: when no other target is free, the task goes to the least slow free one if it is expected to end there before the wait elsewhere and its run; run_ordered says reason=slow.

The new test fails on the old code (no order).

--- a/include/bamboohead/dispatch/agent_pool.hpp
+++ b/include/bamboohead/dispatch/agent_pool.hpp
@@ -177,6 +177,7 @@
     queue,    ///< no other is free; the task waits in its queue
     near,     ///< waiting near the data ends the task earlier than a start elsewhere
     assigned, ///< as `free`, and the agent is assigned to the entry
+    slow,     ///< no other is free; its target is slow, but a wait elsewhere ends later
 };
 
 /// @brief Name of a reason in logs.
@@ -303,10 +304,17 @@
         weighted_candidates assignedFree; ///< with free capacity, and assigned to this entry
         std::vector<placement_candidate *> withOldReport; ///< full in a report that is old
         placement_candidate *fallback = nullptr;          ///< with space in its queue; null: none
+        /// Least slow one of those with free capacity whose target is slow; null: none.
+        placement_candidate *slowFree = nullptr;
     };
     [[nodiscard]] sorted_candidates sortCandidates(std::vector<placement_candidate> &candidates,
                                                    const placement_request &request) const;
 
+    /// Chooses between a wait at a full agent and, while no other is free, a slow target.
+    [[nodiscard]] selection selectWithoutFree(std::vector<placement_candidate> &candidates,
+                                              const sorted_candidates &sorted,
+                                              const placement_request &request) const;
+
     /// Chooses among candidates with free capacity.
     [[nodiscard]] placement_candidate *chooseWeighted(const weighted_candidates &candidates);
     [[nodiscard]] double weightOf(const placement_candidate &candidate,
--- a/src/dispatch/agent_pool.cpp
+++ b/src/dispatch/agent_pool.cpp
@@ -37,7 +37,8 @@
 /// Weight factor of targets on which a task would miss its objective if it took longer than
 /// expected by its mean deviation.
 constexpr double unsafeTargetWeight = 0.1;
-constexpr std::array<std::string_view, 5> reasonNames{"free", "probe", "queue", "near", "assigned"};
+constexpr std::array<std::string_view, 6> reasonNames{"free", "probe",    "queue",
+                                                      "near", "assigned", "slow"};
 
 /// Converts a job id to the form that target_health uses. That form contains the caller's session,
 /// which stays empty here because a batch job has none.
@@ -507,8 +508,13 @@
             continue;
         }
         const auto &agent = *candidate.agent;
-        if (taskStep.demand.fitsIn(agent.capacity - candidate.precedingDemand) &&
-            agent.incarnation != request.avoidedAgent && candidate.slowness < slowTargetThreshold) {
+        const bool free = taskStep.demand.fitsIn(agent.capacity - candidate.precedingDemand) &&
+                          agent.incarnation != request.avoidedAgent;
+        if (free && candidate.slowness >= slowTargetThreshold &&
+            (sorted.slowFree == nullptr || candidate.slowness < sorted.slowFree->slowness)) {
+            sorted.slowFree = &candidate;
+        }
+        if (free && candidate.slowness < slowTargetThreshold) {
             const std::pair weighted{&candidate, weightOf(candidate, request)};
             if (candidate.preferred) {
                 sorted.nearFree.push_back(weighted);
@@ -538,6 +544,22 @@
     return sorted;
 }
 
+agent_pool::selection agent_pool::selectWithoutFree(std::vector<placement_candidate> &candidates,
+                                                    const sorted_candidates &sorted,
+                                                    const placement_request &request) const
+{
+    const auto waiting = selectForWait(candidates, request);
+    auto *const slow = sorted.free.empty() ? sorted.slowFree : nullptr;
+    if (slow == nullptr) {
+        return waiting;
+    }
+    const std::chrono::duration<double, duration::period> runTime{request.runTime};
+    const bool waitEndsEarlier = waiting.candidate != nullptr &&
+                                 waiting.expectedWait + runTime < runTime * slow->slowness;
+    return waitEndsEarlier ? waiting
+                           : selection{slow, true, request.patience, {}, placement_reason::slow};
+}
+
 agent_pool::selection agent_pool::selectCandidate(std::vector<placement_candidate> &candidates,
                                                   const placement_request &request)
 {
@@ -557,9 +579,9 @@
         return {chooseWeighted(sorted.assignedFree), true, maxWait, {}, placement_reason::assigned};
     }
     if (m_options.forecasts && request.mayProbe) {
-        if (const auto waiting = selectForWait(candidates, request);
-            waiting.candidate != nullptr || sorted.free.empty()) {
-            return waiting;
+        if (const auto chosen = selectWithoutFree(candidates, sorted, request);
+            chosen.candidate != nullptr || sorted.free.empty()) {
+            return chosen;
         }
     }
     if (!sorted.free.empty()) {
--- a/tests/dispatch_entry_test.cpp
+++ b/tests/dispatch_entry_test.cpp
@@ -109,6 +109,44 @@
     }
 }
 
+// Pattern: an overload in which some targets are known as slow. Guards against targets that stay
+// idle while jobs wait, although the jobs would meet their objective on a slow target.
+TEST_CASE("load pattern: a task starts on a slow target that is free before a wait elsewhere ends")
+{
+    constexpr std::uint64_t firstAgent = 3;
+    constexpr std::uint64_t slowAgent = 7;
+    manual_clock time;
+    time.advance(10s);
+    auto options = entryOptions();
+    options.limits.placement = {true, true, 0};
+    dispatch_entry entry{options, time};
+    entry.handleConfig(stateWithOneRoute());
+    for (auto agent = firstAgent; agent <= slowAgent; ++agent) {
+        auto report = reportOf(incarnation_id{agent}, time.now());
+        report.set_endpoint("a" + std::to_string(agent));
+        auto &content = *report.mutable_dispatch_report();
+        content.set_target("i-" + std::to_string(agent));
+        content.set_slowness_permille(agent == slowAgent ? 4'000 : 1'000);
+        if (agent != slowAgent) {
+            toWire(resources{32'000, 65'536, 0}, *content.mutable_running());
+            content.set_room_wait_ms(400);
+        }
+        entry.receive(report);
+    }
+    entry.tick();
+    entry.submit(caller_request{1}, entry.config().routes.front(), smallJob(1));
+    std::vector<std::uint64_t> ordered;
+    for (const auto &action : entry.takeActions()) {
+        const auto *const sent = std::get_if<send_message>(&action);
+        // Heartbeats are messages without orders.
+        if (sent != nullptr && sent->envelope.dispatch_orders().orders_size() > 0) {
+            ordered.push_back(sent->envelope.receiver());
+        }
+    }
+    REQUIRE(ordered.size() == 1);
+    CHECK(ordered.front() == slowAgent);
+}
+
 TEST_CASE("load pattern: callers return at once after a loss of power of the whole fleet")
 {
     // A restarted entry knows one agent of many when the first jobs arrive. Guards against refusals
