Do not count trouble of some seconds as lasting speed

The lasting slowness of a target averages its last 200 tasks, which a busy target runs in 3 s. So a target that was six times slower for a few seconds had that speed afterwards, and run times were divided by it before they taught the expected run times of their route. Tasks that are more than 2.5 times away from the mean are left out now, until 100 more of them were left out than recorded since; then the mean begins anew.

--- a/include/bamboohead/dispatch/load_policy.hpp
+++ b/include/bamboohead/dispatch/load_policy.hpp
@@ -42,7 +42,9 @@
 /// @brief Lasting speed of a target, from all tasks that it has run in its lifetime.
 ///
 /// Unlike slowness_estimate it does not decay: sound targets differ in speed by their kind. Run
-/// times have a long tail, so it averages their logarithms.
+/// times have a long tail, so it averages their logarithms. Trouble of some seconds is not part of
+/// the lasting speed: tasks whose ratio is far from the mean are left out, until so many of them
+/// have accumulated that the speed must have changed for good.
 class lasting_slowness
 {
 public:
@@ -55,7 +57,8 @@
 
 private:
     double m_meanLogarithm = 0;
-    int m_tasks = 0; ///< recorded tasks, up to the number that the mean averages
+    int m_tasks = 0;    ///< recorded tasks, up to the number that the mean averages
+    int m_outliers = 0; ///< tasks left out, minus those recorded since; at least 0
 };
 
 /// @brief Estimates how slowly a target runs its tasks, compared with their expected run times.
--- a/src/dispatch/load_policy.cpp
+++ b/src/dispatch/load_policy.cpp
@@ -16,6 +16,12 @@
 /// Tasks without which the lasting slowness is unknown: the mean of ten has a standard error of
 /// about 0.15 with the run times seen.
 constexpr int minLastingTasks = 10;
+/// Distance of the logarithm of a ratio from its mean from which a task is an outlier: a factor of
+/// 2.5. Sound targets differ from their mean by less.
+constexpr double outlierDistance = 0.916;
+/// Surplus of outliers from which the speed of a target has changed for good. A target with twelve
+/// slots that is six times slower than usual completes as many tasks of 200 ms in 10 s.
+constexpr int maxOutliers = 100;
 constexpr double minRatio = 0.2; ///< lower bound of the ratio of one task
 constexpr double maxRatio = 5.0; ///< upper bound of the ratio of one task
 /// Weight of one task in the slowness of a target, which averages about 7 tasks.
@@ -77,9 +83,16 @@
     if (expected <= duration{}) {
         return;
     }
-    const auto ratio = std::clamp(quotient(observed, expected), minRatio, maxRatio);
+    const auto logarithm = std::log(std::clamp(quotient(observed, expected), minRatio, maxRatio));
+    if (m_tasks >= minLastingTasks && std::abs(logarithm - m_meanLogarithm) > outlierDistance) {
+        if (++m_outliers < maxOutliers) {
+            return;
+        }
+        reset();
+    }
+    m_outliers = std::max(0, m_outliers - 1);
     m_tasks = std::min(m_tasks + 1, lastingTasks);
-    m_meanLogarithm += (std::log(ratio) - m_meanLogarithm) / m_tasks;
+    m_meanLogarithm += (logarithm - m_meanLogarithm) / m_tasks;
 }
 
 double lasting_slowness::ratio() const
--- a/tests/load_policy_test.cpp
+++ b/tests/load_policy_test.cpp
@@ -143,6 +143,24 @@
     CHECK(slow.ratio() == 0);
 }
 
+// Pattern: a target that is slow for some seconds. Guards against a target that stays known as slow
+// after it has recovered, and against run times that are scaled by a speed it no longer has.
+TEST_CASE("lasting slowness: trouble of some seconds is no lasting speed, a change for good is")
+{
+    lasting_slowness slow;
+    for (int count = 0; count < 50; ++count) {
+        slow.record(100ms, 150ms);
+    }
+    for (int count = 0; count < 60; ++count) {
+        slow.record(100ms, 870ms);
+    }
+    CHECK(slow.ratio() == doctest::Approx(1.5).epsilon(0.01));
+    for (int count = 0; count < 100; ++count) {
+        slow.record(100ms, 870ms);
+    }
+    CHECK(slow.ratio() > 4);
+}
+
 TEST_CASE("run time model: the deviation of a route is known")
 {
     run_time_model model;
