--- a/src/dispatch/dispatch_entry_admission.cpp
+++ b/src/dispatch/dispatch_entry_admission.cpp
@@ -1,7 +1,7 @@
 #include "bamboohead/dispatch/dispatch_entry.hpp"
 #include "bamboohead/dispatch/milliseconds.hpp"
 
-#include <algorithm>
+#include <set>
 
 namespace bamboohead {
 
@@ -38,10 +38,11 @@
             load.queued += queuedWorkAt(agent);
         }
     }
-    std::erase_if(m_rooms, [&](const auto &room) {
-        return std::ranges::none_of(
-                loads, [&](const auto &load) { return hashOfName(load.first) == room.first; });
-    });
+    std::set<name_hash> served;
+    for (const auto &[service, load] : loads) {
+        served.insert(hashOfName(service));
+    }
+    std::erase_if(m_rooms, [&](const auto &room) { return !served.contains(room.first); });
     if (m_options.limits.placement.forecasts) {
         std::map<std::string_view, std::map<incarnation_id, double>> arriving;
         for (const auto &[service, load] : loads) {
--- a/src/dispatch/fleet_demand.cpp
+++ b/src/dispatch/fleet_demand.cpp
@@ -24,6 +24,13 @@
                                [](const auto &route) { return route.second.waiting > 0; });
 }
 
+/// The work for a service; null when there is none.
+const service_work *findWork(const std::map<name_hash, service_work> &services, name_hash service)
+{
+    const auto found = services.find(service);
+    return found == services.end() ? nullptr : &found->second;
+}
+
 /// Adds up the routes with the least work, so that at most `maxListedRoutes` and the sum remain.
 void limitRoutes(std::map<name_hash, route_work> &routes)
 {
@@ -135,13 +142,11 @@
     auto services = own(now);
     auto sum = std::move(services[service]);
     for (const auto &[peer, demand] : m_peers) {
-        const auto found = demand.services.find(service);
-        if (found == demand.services.end()) {
-            continue;
-        }
-        sum.completing += found->second.completing;
-        for (const auto &[route, work] : found->second.routes) {
-            add(sum.routes[route], work);
+        if (const auto *const found = findWork(demand.services, service)) {
+            sum.completing += found->completing;
+            for (const auto &[route, work] : found->routes) {
+                add(sum.routes[route], work);
+            }
         }
     }
     return sum;
@@ -158,9 +163,8 @@
     }
     for (const auto &[peer, demand] : m_peers) {
         auto &sum = arriving[peer];
-        const auto found = demand.services.find(service);
-        if (found != demand.services.end()) {
-            for (const auto &[route, work] : found->second.routes) {
+        if (const auto *const found = findWork(demand.services, service)) {
+            for (const auto &[route, work] : found->routes) {
                 sum += static_cast<double>(work.arriving);
             }
         }
@@ -172,11 +176,11 @@
 {
     std::uint64_t work = 0;
     for (const auto &[peer, demand] : m_peers) {
-        const auto found = demand.services.find(service);
-        if (found == demand.services.end()) {
+        const auto *const found = findWork(demand.services, service);
+        if (found == nullptr) {
             continue;
         }
-        for (const auto &[route, waiting] : found->second.routes) {
+        for (const auto &[route, waiting] : found->routes) {
             work += waiting.priority < priority    ? waiting.waiting
                     : waiting.priority == priority ? waiting.waiting / 2
                                                    : 0;
