Match repeated names in configuration changes and fuzz the review

A list with two entries of the same name was compared with the first one twice, and reported as changed. The fuzz targets of manifests and platform bodies now check that a review agrees with the parser, locates each finding, and finds no change between a configuration and itself. Renames the fields of the echo check in the transport.

--- a/include/bamboohead/transport.hpp
+++ b/include/bamboohead/transport.hpp
@@ -27,7 +27,7 @@
 /// @brief Time after which the connection to a peer is replaced when messages of the peer arrive,
 ///        but echo no message that was sent to it in this time. It is longer than the interval
 ///        between two messages of a peer, whose echo is one interval old.
-inline constexpr duration peerUnheardLimit = std::chrono::seconds{5};
+inline constexpr duration peerEchoLimit = std::chrono::seconds{5};
 
 /// @brief Time that messages wait for the first connection to a peer before they are dropped. A new
 ///        connection takes a few round trips, and ZeroMQ rejects messages before it is up.
--- a/src/adapters/transport.cpp
+++ b/src/adapters/transport.cpp
@@ -33,7 +33,7 @@
 constexpr int keepAliveProbes = 3;
 /// Messages of a peer without an echo of ours from which our connection to it does not work. One or
 /// two may have been sent before ours arrived.
-constexpr int minUnheardAnswers = 3;
+constexpr int minMessagesWithoutEcho = 3;
 /// Minimum time between two passes of maintain().
 constexpr duration maintenanceInterval = std::chrono::milliseconds{10};
 
@@ -46,11 +46,11 @@
 };
 
 /// The first message on a connection that the peer has not echoed yet.
-struct unheard_message
+struct unechoed_message
 {
     std::uint64_t stamp = 0;
     time_point sent;
-    int answers = 0; ///< messages of the peer since then
+    int messagesSince = 0; ///< messages of the peer since then, without its echo
 };
 
 /// Outgoing connection to one endpoint.
@@ -61,7 +61,7 @@
     bool wasConnected = false; ///< the connection was up at least once
     /// When the newest message of this peer was received; none since the socket was opened.
     std::optional<time_point> lastReceived;
-    std::optional<unheard_message> unheard;
+    std::optional<unechoed_message> unechoed;
     std::deque<pending_message> pending;
     std::size_t pendingBytes = 0;
 };
@@ -131,8 +131,8 @@
             return;
         }
         recipient->lastUsed = m_clock.now();
-        if (!recipient->unheard) {
-            recipient->unheard = unheard_message{envelope.stamp_us(), m_clock.now()};
+        if (!recipient->unechoed) {
+            recipient->unechoed = unechoed_message{envelope.stamp_us(), m_clock.now()};
         }
         const auto kind = messageKind(envelope);
         if (recipient->pending.empty() && trySend(recipient->socket, payload)) {
@@ -187,7 +187,7 @@
             const bool silent = recipient.lastReceived &&
                                 now - *recipient.lastReceived >= peerSilenceLimit &&
                                 now - recipient.lastUsed < peerSilenceLimit;
-            if (silent || isUnheard(recipient, now)) {
+            if (silent || receivesNothing(recipient, now)) {
                 reconnect(endpoint, recipient);
             }
             sendPending(recipient, now);
@@ -241,22 +241,22 @@
 
     /// Whether a peer sends messages, but has received none on this connection for a while. The
     /// path may be interrupted in one direction.
-    static bool isUnheard(const peer &recipient, time_point now)
+    static bool receivesNothing(const peer &recipient, time_point now)
     {
-        return recipient.unheard && recipient.unheard->answers >= minUnheardAnswers &&
-               now - recipient.unheard->sent >= peerUnheardLimit;
+        return recipient.unechoed && recipient.unechoed->messagesSince >= minMessagesWithoutEcho &&
+               now - recipient.unechoed->sent >= peerEchoLimit;
     }
 
     /// Records which of the messages to a peer have arrived there.
-    static void recordAnswer(peer &sender, const wire::Envelope &envelope)
+    static void recordEcho(peer &sender, const wire::Envelope &envelope)
     {
-        if (!sender.unheard) {
+        if (!sender.unechoed) {
             return;
         }
-        if (envelope.echo_us() >= sender.unheard->stamp) {
-            sender.unheard.reset();
+        if (envelope.echo_us() >= sender.unechoed->stamp) {
+            sender.unechoed.reset();
         } else {
-            ++sender.unheard->answers;
+            ++sender.unechoed->messagesSince;
         }
     }
 
@@ -274,7 +274,7 @@
         }
         recipient.wasConnected = false;
         recipient.lastReceived.reset();
-        recipient.unheard.reset();
+        recipient.unechoed.reset();
         ++m_counters.peersReconnected;
     }
 
@@ -347,7 +347,7 @@
         ++m_counters.received;
         if (const auto from = m_peers.find(envelope.endpoint()); from != m_peers.end()) {
             from->second.lastReceived = m_clock.now();
-            recordAnswer(from->second, envelope);
+            recordEcho(from->second, envelope);
         }
         count(m_counters.receivedByKind, messageKind(envelope), payload.size());
         receive(envelope);
--- a/src/dispatch/route_review.cpp
+++ b/src/dispatch/route_review.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Size limit of a request body at the servers of an entry, see server_limits.
+/// Size limit of a request body at the servers of an entry, see async_http_limits.
 constexpr std::uint64_t serverBodyLimit = 262'144;
 
 class state_reviewer
--- a/src/json_difference.cpp
+++ b/src/json_difference.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace bamboohead::detail {
 
@@ -77,26 +78,26 @@
 
     void compareLists(const std::string &path, const json::array &before, const json::array &after)
     {
-        const auto find = [](const json::array &list, std::string_view name) {
-            return std::ranges::find_if(list,
-                                        [&](const auto &item) { return nameOf(item) == name; });
-        };
+        std::vector<bool> matched(before.size()); // a name may be repeated
         for (std::size_t index = 0; index < after.size(); ++index) {
-            const auto &item = after[index];
-            const auto name = *nameOf(item);
+            const auto name = *nameOf(after[index]);
             const auto itemPath = appendPointer(path, std::to_string(index));
-            const auto old = find(before, name);
-            if (old == before.end()) {
+            std::size_t old = 0;
+            while (old < before.size() && (matched[old] || nameOf(before[old]) != name)) {
+                ++old;
+            }
+            if (old == before.size()) {
                 add(itemPath, "added \"" + std::string{name} + "\"");
                 continue;
             }
+            matched[old] = true;
             const auto outer = std::exchange(m_name, std::string{name});
-            compare(itemPath, *old, item);
+            compare(itemPath, before[old], after[index]);
             m_name = outer;
         }
-        for (const auto &item : before) {
-            if (find(after, *nameOf(item)) == after.end()) {
-                add(path, "removed \"" + std::string{*nameOf(item)} + "\"");
+        for (std::size_t old = 0; old < before.size(); ++old) {
+            if (!matched[old]) {
+                add(path, "removed \"" + std::string{*nameOf(before[old])} + "\"");
             }
         }
     }
--- a/tests/config_review_test.cpp
+++ b/tests/config_review_test.cpp
@@ -129,6 +129,17 @@
     CHECK(timeout->line == 5);
 }
 
+// Guards against a change that is reported because a name is repeated.
+TEST_CASE("review: entries with the same name are compared in their order")
+{
+    const auto doubled =
+            with(validConfiguration, R"("name": "desk", "host")", R"("name": "quote", "host")");
+    const auto findings = platform::reviewConfiguration(with(doubled, "7,", "8,"), doubled);
+    CHECK(has(findings, finding_kind::contradiction, "/routes/1/name"));
+    CHECK(has(findings, finding_kind::change, "/version"));
+    CHECK(findings.size() == 2);
+}
+
 // Guards against routes and values that the entries skip without a word.
 TEST_CASE("review: errors of a configuration are found, with the index of the route")
 {
--- a/tests/fuzz/fuzz_texts.cpp
+++ b/tests/fuzz/fuzz_texts.cpp
@@ -1,10 +1,12 @@
 #include "fuzz_targets.hpp"
 
+#include "bamboohead/config_review.hpp"
 #include "bamboohead/detail/http/job_json.hpp"
 #include "bamboohead/manifest.hpp"
 #include "bamboohead/settings.hpp"
 #include "etcd_messages.hpp"
 #include "platform/caller_api.hpp"
+#include "platform/configuration_review.hpp"
 #include "platform/store_api.hpp"
 #include "platform/target_api.hpp"
 
@@ -33,6 +35,19 @@
            after->zones.size() == original.zones.size();
 }
 
+/// Checks the review of a configuration against itself.
+void checkReview(const std::vector<config_finding> &findings, bool valid)
+{
+    require(isValid(findings) == valid, "review that does not agree with the parser");
+    require(std::ranges::find(findings, finding_kind::change, &config_finding::kind) ==
+                    findings.end(),
+            "change between a configuration and itself");
+    require(std::ranges::all_of(
+                    findings,
+                    [](const auto &finding) { return finding.line > 0 && finding.column > 0; }),
+            "finding without a position");
+}
+
 void checkJob(const job_submission &job)
 {
     require(!job.payloads.empty() && job.payloads.size() <= maxTasksPerJob,
@@ -80,6 +95,7 @@
     const auto text = textOf(bytes);
     const auto parsed = parseManifest(text);
     const auto *const accepted = std::get_if<manifest>(&parsed);
+    checkReview(reviewManifest(text, text), accepted != nullptr);
     if (accepted == nullptr) {
         require(!std::get<std::vector<config_error>>(parsed).empty(),
                 "manifest rejected without an error");
@@ -144,6 +160,8 @@
 {
     namespace http = boost::beast::http;
     const std::string body{textOf(bytes)};
+    const auto findings = platform::reviewConfiguration(body, std::nullopt);
+    checkReview(findings, isValid(findings));
     http_server_request request{http::verb::post, "/p/0000000000000001", 11};
     request.body() = body;
     const auto result = platform::decodeSubmission(batch_job_id{1}, request);
