End entries and agents without destructors

Which of them waited is not traced. The platform kills a process 6 s after the stop request.

Change: after its last line, the process of an entry or agent on the users' platform writes its log and ends, as it already skipped the destructors of static objects.

Ruled out: an open request (open=0 in callers_closed); the drain (its limit was not reached).

--- a/src/adapters/dispatch_agent_process.cpp
+++ b/src/adapters/dispatch_agent_process.cpp
@@ -93,7 +93,7 @@
 {
     returnFreedMemory();
     ignoreBrokenPipes();
-    const log_session log{settings.log};
+    auto log = std::make_unique<log_session>(settings.log);
     const suspend_aware_clock clock;
     dispatch_agent_options options;
     options.self = {incarnation_id{randomNumber()}, settings.endpoint, wire::ROLE_AGENT,
@@ -125,6 +125,7 @@
     logStart(options.self, settings.http);
     loop.run();
     logLine(log_level::info, "process_ended", {});
+    endProcess(std::move(log));
 }
 
 } // namespace bamboohead
--- a/src/adapters/dispatch_entry_process.cpp
+++ b/src/adapters/dispatch_entry_process.cpp
@@ -333,10 +333,11 @@
 {
     returnFreedMemory();
     ignoreBrokenPipes();
-    const log_session log{settings.log};
+    auto log = std::make_unique<log_session>(settings.log);
     const suspend_aware_clock clock;
     dispatch_entry_process process{settings, settingsFile, clock};
     process.run();
+    endProcess(std::move(log));
 }
 
 } // namespace bamboohead
--- a/src/adapters/process_setup.cpp
+++ b/src/adapters/process_setup.cpp
@@ -3,6 +3,8 @@
 #include <malloc.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <iostream>
 #include <random>
 
 namespace bamboohead {
@@ -74,6 +76,14 @@
     return limits;
 }
 
+void endProcess(std::unique_ptr<log_session> log)
+{
+    log.reset();
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(EXIT_SUCCESS);
+}
+
 void ignoreBrokenPipes()
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
--- a/src/adapters/process_setup.hpp
+++ b/src/adapters/process_setup.hpp
@@ -3,11 +3,13 @@
 #include "bamboohead/async_http_server.hpp"
 #include "bamboohead/http_server.hpp"
 #include "bamboohead/link_table.hpp"
+#include "bamboohead/logging.hpp"
 #include "bamboohead/runtime.hpp"
 
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +49,13 @@
 /// @brief Ignores SIGPIPE, so that a write to a closed connection does not terminate the process.
 void ignoreBrokenPipes();
 
+/// @brief Ends the process with exit code 0 after its log has been written.
+///
+/// Skips all destructors. They join threads, which took more than 4 s after the last log line on a
+/// loaded machine, longer than the platform waits before it kills a process. The operating system
+/// releases what they would release.
+[[noreturn]] void endProcess(std::unique_ptr<log_session> log);
+
 /// @brief Settings file of a running process; detects changes and reloads it.
 class settings_file
 {
