Count the lowest backlog of the last moments for shares

The shares of a service's room followed the backlog of the newest tick, which contains the jobs of a burst that start in the next one.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -140,7 +140,7 @@
     load.capacity = 1'000'000;
     for (auto _ : state) {
         load.demand = demand.total(service, clock.now());
-        benchmark::DoNotOptimize(shareRoom(load));
+        benchmark::DoNotOptimize(shareRoom(load, backlogOf(load)));
     }
 }
 
--- a/include/bamboohead/dispatch/dispatch_entry.hpp
+++ b/include/bamboohead/dispatch/dispatch_entry.hpp
@@ -367,6 +367,7 @@
     struct service_room
     {
         service_load load;
+        standing_backlog backlog;
         std::map<name_hash, double> shares; ///< see shareRoom()
         time_point lastLog;                 ///< of `room_shared`
     };
--- a/include/bamboohead/dispatch/load_policy.hpp
+++ b/include/bamboohead/dispatch/load_policy.hpp
@@ -130,6 +130,24 @@
     std::array<std::int64_t, intervals> m_numbers{}; ///< interval of each sum, from the epoch
 };
 
+/// @brief Lowest backlog of the last moments. Jobs arrive in bursts, and a queue that empties
+///        between them is no overload.
+class standing_backlog
+{
+public:
+    /// @brief Records the current backlog.
+    void record(duration backlog, time_point now);
+    /// @brief Lowest backlog that was recorded in the last 50 to 75 ms; zero when none was.
+    [[nodiscard]] duration lowest(time_point now) const;
+
+private:
+    static constexpr std::size_t intervals = 3; ///< the newest one is not over yet
+    static constexpr duration intervalLength = std::chrono::milliseconds{25};
+
+    std::array<duration, intervals> m_lowest{};
+    std::array<std::int64_t, intervals> m_numbers{}; ///< interval of each figure, from the epoch
+};
+
 /// @brief Adaptive admission control: the share of jobs that an entry accepts, so that accepted
 ///        jobs can meet their response-time objective.
 ///
--- a/include/bamboohead/dispatch/room_sharing.hpp
+++ b/include/bamboohead/dispatch/room_sharing.hpp
@@ -30,6 +30,7 @@
 /// shared by max-min fairness over work: no route gets more while another one that gets less has
 /// unserved demand. So a burst on one route, or a flood of small jobs, does not displace the jobs
 /// of other routes, and no route is refused as a whole.
-[[nodiscard]] std::map<name_hash, double> shareRoom(const service_load &load);
+/// @param backlog Lowest backlog of the last moments, see standing_backlog.
+[[nodiscard]] std::map<name_hash, double> shareRoom(const service_load &load, duration backlog);
 
 } // namespace bamboohead
--- a/src/dispatch/dispatch_entry_admission.cpp
+++ b/src/dispatch/dispatch_entry_admission.cpp
@@ -55,8 +55,10 @@
         const auto hash = hashOfName(service);
         load.demand = m_demand.total(hash, now);
         auto &room = m_rooms[hash];
+        room.backlog.record(backlogOf(load), now);
         // Shortly after the start only a part of the agents is known.
-        room.shares = discovering() ? std::map<name_hash, double>{} : shareRoom(load);
+        room.shares = discovering() ? std::map<name_hash, double>{}
+                                    : shareRoom(load, room.backlog.lowest(now));
         room.load = std::move(load);
         if (!room.shares.empty() && now - room.lastLog >= roomLogInterval) {
             room.lastLog = now;
--- a/src/dispatch/load_policy.cpp
+++ b/src/dispatch/load_policy.cpp
@@ -176,6 +176,29 @@
            static_cast<std::uint64_t>(span.count());
 }
 
+void standing_backlog::record(duration backlog, time_point now)
+{
+    const auto number = now.time_since_epoch() / intervalLength;
+    const auto index = static_cast<std::size_t>(number) % intervals;
+    if (m_numbers.at(index) != number) {
+        m_numbers.at(index) = number;
+        m_lowest.at(index) = backlog;
+    }
+    m_lowest.at(index) = std::min(m_lowest.at(index), backlog);
+}
+
+duration standing_backlog::lowest(time_point now) const
+{
+    const auto number = now.time_since_epoch() / intervalLength;
+    auto lowest = duration::max();
+    for (std::size_t index = 0; index < intervals; ++index) {
+        if (number - m_numbers.at(index) < static_cast<std::int64_t>(intervals)) {
+            lowest = std::min(lowest, m_lowest.at(index));
+        }
+    }
+    return lowest == duration::max() ? duration{} : lowest;
+}
+
 void admission_share::update(duration backlog, time_point now)
 {
     m_minBacklog = std::min(m_minBacklog, backlog);
--- a/src/dispatch/room_sharing.cpp
+++ b/src/dispatch/room_sharing.cpp
@@ -39,22 +39,21 @@
 }
 
 /// Rate at which the targets can start work, in millicores.
-double startRateOf(const service_load &load)
+double startRateOf(const service_load &load, duration backlog)
 {
     const auto capacity = static_cast<double>(load.capacity);
     // With a short backlog the targets are not saturated, so the rate of completed work is that of
     // the arriving work.
-    return backlogOf(load) < goalOf(load) ? capacity
-                                          : std::clamp(static_cast<double>(load.demand.completing),
-                                                       minEffectiveCapacity * capacity, capacity);
+    return backlog < goalOf(load) ? capacity
+                                  : std::clamp(static_cast<double>(load.demand.completing),
+                                               minEffectiveCapacity * capacity, capacity);
 }
 
 /// Rate at which work can be admitted, in millicores.
-double roomOf(const service_load &load)
+double roomOf(const service_load &load, duration backlog)
 {
     const auto capacity = static_cast<double>(load.capacity);
-    const auto rate = startRateOf(load);
-    const auto backlog = backlogOf(load);
+    const auto rate = startRateOf(load, backlog);
     const auto excess = static_cast<double>((backlog - goalOf(load)).count()) /
                         static_cast<double>(duration{correctionTime}.count());
     return std::max(0.0, rate - excess * capacity);
@@ -79,10 +78,10 @@
     if (load.capacity == 0 || work == 0) {
         return {};
     }
-    return timeOf(work + load.queued, startRateOf(load));
+    return timeOf(work + load.queued, startRateOf(load, backlogOf(load)));
 }
 
-std::map<name_hash, double> shareRoom(const service_load &load)
+std::map<name_hash, double> shareRoom(const service_load &load, duration backlog)
 {
     double demand = 0;
     for (const auto &[route, work] : load.demand.routes) {
@@ -93,8 +92,8 @@
     }
     // The demand is computed from expected run times, and may be wrong. Without a backlog there is
     // room, whatever it says.
-    const auto room = roomOf(load);
-    if (demand <= room || backlogOf(load) < goalOf(load)) {
+    const auto room = roomOf(load, backlog);
+    if (demand <= room || backlog < goalOf(load)) {
         return {};
     }
     struct claim
--- a/tests/load_policy_test.cpp
+++ b/tests/load_policy_test.cpp
@@ -143,6 +143,24 @@
     CHECK(slow.ratio() == 0);
 }
 
+// Pattern: jobs that arrive in bursts. Guards against refusals because of a queue that empties
+// between two bursts.
+TEST_CASE("standing backlog: the lowest one of the last moments counts")
+{
+    standing_backlog standing;
+    time_point now{100s};
+    CHECK(standing.lowest(now) == 0ms);
+    for (int step = 0; step < 20; ++step) {
+        standing.record(step % 3 == 2 ? 0ms : 300ms, now += 20ms);
+        CHECK(standing.lowest(now) == (step < 2 ? 300ms : 0ms));
+    }
+    for (int step = 0; step < 4; ++step) {
+        standing.record(300ms, now += 20ms);
+    }
+    CHECK(standing.lowest(now) == 300ms);
+    CHECK(standing.lowest(now + 1s) == 0ms); // nothing was recorded
+}
+
 // Pattern: a target that is slow for some seconds. Guards against a target that stays known as slow
 // after it has recovered, and against run times that are scaled by a speed it no longer has.
 TEST_CASE("lasting slowness: trouble of some seconds is no lasting speed, a change for good is")
--- a/tests/room_sharing_test.cpp
+++ b/tests/room_sharing_test.cpp
@@ -25,9 +25,15 @@
     return load;
 }
 
+/// Shares with a backlog that has stood for some time.
+std::map<name_hash, double> sharesOf(const service_load &load)
+{
+    return shareRoom(load, backlogOf(load));
+}
+
 double admittedWork(const service_load &load)
 {
-    const auto shares = shareRoom(load);
+    const auto shares = sharesOf(load);
     double sum = 0;
     for (const auto &[route, work] : load.demand.routes) {
         const auto share = shares.find(route);
@@ -40,15 +46,15 @@
 
 TEST_CASE("room: nothing is refused while the demand fits")
 {
-    CHECK(shareRoom(loadOf(257'000, 624'000, 351'000)).empty());
-    CHECK(shareRoom({}).empty()); // without targets, refusing is no matter of room
+    CHECK(sharesOf(loadOf(257'000, 624'000, 351'000)).empty());
+    CHECK(sharesOf({}).empty()); // without targets, refusing is no matter of room
 }
 
 // Pattern: a burst on one route. Guards against refusals of the other routes' jobs.
 TEST_CASE("room: a burst on one route leaves the others as they were")
 {
     const auto load = loadOf(257'000, 1'872'000, 351'000);
-    const auto shares = shareRoom(load);
+    const auto shares = sharesOf(load);
     CHECK(shares.at(shortJobs) == doctest::Approx(1.0));
     CHECK(shares.at(longJobs) == doctest::Approx(1.0));
     CHECK(shares.at(mediumJobs) < 0.7);
@@ -58,10 +64,10 @@
 // Pattern: a flood of small jobs beside few large ones, and the reverse.
 TEST_CASE("room: neither many small jobs nor few large ones displace the others")
 {
-    const auto manySmall = shareRoom(loadOf(5'000'000, 624'000, 351'000));
+    const auto manySmall = sharesOf(loadOf(5'000'000, 624'000, 351'000));
     CHECK(manySmall.at(mediumJobs) == doctest::Approx(1.0));
     CHECK(manySmall.at(longJobs) == doctest::Approx(1.0));
-    const auto manyLarge = shareRoom(loadOf(257'000, 624'000, 5'000'000));
+    const auto manyLarge = sharesOf(loadOf(257'000, 624'000, 5'000'000));
     CHECK(manyLarge.at(shortJobs) == doctest::Approx(1.0));
     CHECK(manyLarge.at(mediumJobs) == doctest::Approx(1.0));
     CHECK(manyLarge.at(longJobs) < 0.2);
@@ -71,7 +77,7 @@
 TEST_CASE("room: each route keeps at least half of its proportional part")
 {
     const auto load = loadOf(1'000, 100'000, 50'000'000);
-    const auto shares = shareRoom(load);
+    const auto shares = sharesOf(load);
     const double proportional = 1'792'000.0 / 50'101'000.0;
     for (const auto &share : shares) {
         CAPTURE(share.first);
@@ -98,7 +104,7 @@
     load.demand.completing = load.capacity * 6 / 10;
     load.demand.routes[shortJobs].waiting = load.capacity * 20 / 1'000;
     CHECK(backlogOf(load) == 20ms);
-    CHECK(shareRoom(load).empty());
+    CHECK(sharesOf(load).empty());
 }
 
 // Pattern: a small fleet, in which three large jobs are a backlog of 80 ms. Guards against refusals
@@ -110,9 +116,9 @@
     load.demand.completing = 300'000;
     load.demand.routes[longJobs] = {2, 500'000, 27'000};
     CHECK(backlogOf(load) > 70ms);
-    CHECK(shareRoom(load).empty());
+    CHECK(sharesOf(load).empty());
     load.demand.routes[longJobs].waiting = 56'000;
-    CHECK(shareRoom(load).at(longJobs) < 0.6);
+    CHECK(sharesOf(load).at(longJobs) < 0.6);
 }
 
 // Pattern: slow targets. Guards against room that is computed from processors that complete less.
